--- /dev/null
+++ b/cmd/samphirebeam-edge/main.go
@@ -0,0 +1,130 @@
+// Command samphirebeam-edge runs one host of the query tier on the users'
+// platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/samphirebeam/samphirebeam/edge"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// version is set by the linker.
+var version = "development"
+
+// heapShare is the part of the memory limit at which the garbage collector
+// works harder; the rest is for stacks and buffers outside the heap.
+const heapShare = 0.7
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := command().ParseAndRun(ctx, os.Args[1:])
+	stop()
+	switch {
+	case err == nil:
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(2)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "samphirebeam-edge",
+		ShortUsage: "samphirebeam-edge <run|check|version> [flags]",
+		ShortHelp:  "one host of the query tier on the users' platform",
+		Subcommands: []*ffcli.Command{
+			withSettings("run", "run the host until SIGTERM, then stop gracefully", run),
+			withSettings("check", "validate the settings and print the effective values", check),
+			{
+				Name: "version", ShortUsage: "samphirebeam-edge version", ShortHelp: "print the version",
+				Exec: func(context.Context, []string) error {
+					_, err := fmt.Println("samphirebeam-edge", version)
+					return err
+				},
+			},
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func withSettings(name, help string, exec func(context.Context, edge.Settings) error) *ffcli.Command {
+	fs := flag.NewFlagSet("samphirebeam-edge "+name, flag.ContinueOnError)
+	config := fs.String("config", "", "YAML settings file; defaults hold without one")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "samphirebeam-edge " + name + " [-config FILE]",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return fmt.Errorf("unexpected argument %q", args[0])
+			}
+			settings, err := edge.ReadSettings(*config)
+			if err != nil {
+				return err
+			}
+			return exec(ctx, settings)
+		},
+	}
+}
+
+func run(ctx context.Context, settings edge.Settings) error {
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return err
+	}
+	place, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(settings.GarbagePercent)
+	debug.SetMemoryLimit(int64(math.Round(heapShare * float64(place.MemoryBytes))))
+	host, err := edge.New(settings, place, os.Stdout)
+	if err != nil {
+		return err
+	}
+	go reload(ctx, path, host)
+	return host.Run(ctx)
+}
+
+// reload reads the platform's settings again on each SIGHUP.
+func reload(ctx context.Context, path string, host *edge.Host) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			place, err := platform.ReadSettings(path)
+			if err != nil {
+				fmt.Fprintln(os.Stderr, "reload:", err)
+				continue
+			}
+			host.Reload(place)
+		}
+	}
+}
+
+func check(_ context.Context, settings edge.Settings) error {
+	printed, err := settings.YAML()
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(printed)
+	return err
+}
--- a/core/gateway/timer.go
+++ b/core/gateway/timer.go
@@ -1,89 +1,32 @@
 package gateway
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/schedule"
 )
 
-// timer runs fire once, at or after at, unless it is stopped before.
-type timer struct {
-	at       time.Time
-	sequence uint64
-	position int
-	fire     func(now time.Time, out *core.Actions)
-}
+// firing is what a timer runs once, at or after its time.
+type firing = func(now time.Time, out *core.Actions)
 
-// timers is a heap of timers; those due at the same time fire in the order in
-// which they were added.
-type timers struct {
-	heap     timerHeap
-	sequence uint64
-}
+type timer = schedule.Timer[firing]
 
-func (t *timers) add(at time.Time, fire func(now time.Time, out *core.Actions)) *timer {
-	t.sequence++
-	added := &timer{at: at, sequence: t.sequence, fire: fire}
-	heap.Push(&t.heap, added)
-	return added
-}
+// timers is the gateway's schedule.
+type timers struct{ schedule schedule.Timers[firing] }
 
-// stop removes a timer; nil and a timer that has fired are ignored.
-func (t *timers) stop(which *timer) {
-	if which == nil || which.position < 0 {
-		return
-	}
-	heap.Remove(&t.heap, which.position)
-}
+func (t *timers) add(at time.Time, fire firing) *timer { return t.schedule.Add(at, fire) }
 
-func (t *timers) run(now time.Time, out *core.Actions) {
-	for len(t.heap) > 0 && !t.heap[0].at.After(now) {
-		due := heap.Pop(&t.heap).(*timer)
-		due.fire(now, out)
-	}
-}
+func (t *timers) stop(which *timer) { t.schedule.Stop(which) }
 
-func (t *timers) next() time.Time {
-	if len(t.heap) == 0 {
-		return time.Time{}
-	}
-	return t.heap[0].at
-}
-
-type timerHeap []*timer
-
-// Len implements heap.Interface.
-func (h timerHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h timerHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].sequence < h[j].sequence
+func (t *timers) run(now time.Time, out *core.Actions) {
+	for {
+		fire, due := t.schedule.Pop(now)
+		if !due {
+			return
+		}
+		fire(now, out)
 	}
-	return h[i].at.Before(h[j].at)
 }
 
-// Swap implements heap.Interface.
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].position = i
-	h[j].position = j
-}
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) {
-	added := x.(*timer)
-	added.position = len(*h)
-	*h = append(*h, added)
-}
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	last := len(*h) - 1
-	removed := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	removed.position = -1
-	return removed
-}
+func (t *timers) next() time.Time { return t.schedule.Next() }
--- /dev/null
+++ b/core/scatter/action.go
@@ -0,0 +1,121 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+// Actions collects what a step wants done, in order.
+type Actions struct {
+	Sends   []Send
+	Cancels []Cancel
+	Answers []Answer
+	Notes   []Note
+}
+
+// Reset empties the lists and keeps their memory.
+func (a *Actions) Reset() {
+	clear(a.Sends)
+	clear(a.Answers)
+	clear(a.Notes)
+	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
+}
+
+// Send asks one upstream to run a call's request.
+type Send struct {
+	Attempt uint64
+	Call    core.CallID
+	Target  Upstream
+	// Connections is the most connections that this host may hold to the
+	// upstream.
+	Connections int
+	// Deadline is when the upstream should give up.
+	Deadline time.Time
+	// Repeatable requests may use a connection that could be about to close.
+	Repeatable bool
+}
+
+// Cancel ends a running attempt, whose caller is gone.
+type Cancel struct{ Attempt uint64 }
+
+// Answer is the final answer to a call.
+type Answer struct {
+	Call core.CallID
+	Kind AnswerKind
+	// Payload is the upstream's answer to pass on, for PassedOn.
+	Payload any
+	// Parts are the payloads to merge, Missing the number of shards that are
+	// left out and Top how many records to return, for Gathered.
+	Parts   []any
+	Missing int
+	Top     int
+	// RetryAfter is when a refused request may come back.
+	RetryAfter time.Duration
+}
+
+// AnswerKind is what an answer consists of.
+type AnswerKind int
+
+// The kinds of answers.
+const (
+	// PassedOn is one upstream's answer, unchanged.
+	PassedOn AnswerKind = iota
+	// Gathered is merged from parts.
+	Gathered
+	// NoRoute: the configuration has no route for the request.
+	NoRoute
+	// Refused: the request has not run and never will.
+	Refused
+	// UpstreamsFailed: the request may have run and has no answer.
+	UpstreamsFailed
+	// TimedOut: the time for the request is over; it may have run.
+	TimedOut
+)
+
+var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out"}
+
+// String returns the kind as the log prints it.
+func (k AnswerKind) String() string { return answerNames[k] }
+
+// Note is one decision for the log.
+type Note struct {
+	Decision Decision
+	// RequestID names the caller's request, if one is touched.
+	RequestID string
+	Route     string
+	Service   core.ServiceID
+	Upstream  core.UpstreamID
+	// Attempt counts the upstreams asked for this part, from 1.
+	Attempt int
+	// Version is the configuration version that decided.
+	Version uint64
+	// Age is the age of the input that decided.
+	Age time.Duration
+	// Parts and Missing describe an answer, Extra the repeated sends for it.
+	Parts, Missing, Extra int
+	Detail                string
+}
+
+// Decision names what was decided.
+type Decision string
+
+// The decisions that are logged.
+const (
+	DecisionAnswer   Decision = "answer"
+	DecisionRefuse   Decision = "refuse"
+	DecisionHedge    Decision = "hedge"
+	DecisionRetry    Decision = "retry"
+	DecisionNoBudget Decision = "extra_send_denied"
+	DecisionSuspect  Decision = "upstream_suspected"
+	DecisionTrust    Decision = "upstream_trusted"
+	DecisionJoin     Decision = "upstream_joined"
+	DecisionDrain    Decision = "upstream_draining"
+	DecisionRemove   Decision = "upstream_removed"
+	DecisionKeep     Decision = "upstream_kept_without_entry"
+	DecisionConfig   Decision = "config_in_force"
+	DecisionDomains  Decision = "domains_out"
+	DecisionHosts    Decision = "hosts_counted"
+	DecisionStore    Decision = "registry_reachable"
+	DecisionPoison   Decision = "request_quarantined"
+)
--- /dev/null
+++ b/core/scatter/attempt.go
@@ -0,0 +1,255 @@
+package scatter
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// resendDelay is how long a part waits after all upstreams refused it; it
+	// doubles with each attempt.
+	resendDelay = 8 * time.Millisecond
+	// maxAttempts bounds the sends of one part, refused ones included.
+	maxAttempts = 5
+	// hedgeFactor times the usual latency without an answer calls for a second
+	// upstream.
+	hedgeFactor = 2
+	// hedgeMost is the largest share of a gather's parts that is hedged: when
+	// more are late, the cause is not a few stragglers.
+	hedgeMost = 0.4
+)
+
+// replied takes the end of an attempt.
+func (e *Engine) replied(now time.Time, r Replied) {
+	a := e.attempts[r.Attempt]
+	if a == nil {
+		return
+	}
+	delete(e.attempts, r.Attempt)
+	p, u, c := a.part, a.to, a.part.call
+	u.running = slices.DeleteFunc(u.running, func(other *attempt) bool { return other == a })
+	p.pending--
+	a.notRun = r.Outcome.SurelyNotRun()
+	e.learn(now, a, r)
+	e.serveWaiting(now, p.service)
+	if c.done {
+		e.stats.Late++
+		return
+	}
+	switch {
+	case p.in:
+		return
+	case r.Outcome == Succeeded:
+		p.in, p.payload = true, r.Payload
+	default:
+		e.retry(now, p, a, r)
+	}
+	e.progress(now, c)
+}
+
+// learn updates what is believed of the upstream and the question.
+func (e *Engine) learn(now time.Time, a *attempt, r Replied) {
+	p, u, c := a.part, a.to, a.part.call
+	latency := now.Sub(a.sentAt)
+	usual := e.usualOf(c.route, p.service)
+	ratio := float64(latency) / float64(usual.estimate)
+	if !r.Outcome.SurelyNotRun() {
+		p.executed = true
+	}
+	switch r.Outcome {
+	case Succeeded:
+		usual.observe(latency)
+		u.observe(now, ratio, false)
+		if u.backoffs > 0 {
+			e.noteUpstream(u, DecisionTrust)
+		}
+		u.trust()
+	case Failed:
+		u.lostInARow = 0
+		u.observe(now, ratio, true)
+	case NotExecuted:
+		u.lostInARow = 0
+		u.observe(now, max(1, ratio), true)
+	case WrongInstance:
+		u.restsUntil = now.Add(misdirectedBackoff)
+		e.suspect(u, r)
+	case Unreached:
+		u.rest(now)
+		e.suspect(u, r)
+	case Lost:
+		e.learnLost(now, a, r, ratio)
+	}
+}
+
+// learnLost weighs an answer that did not come. When the caller left, or its
+// time was over, the silence says little of the upstream.
+func (e *Engine) learnLost(now time.Time, a *attempt, r Replied, ratio float64) {
+	u, c := a.to, a.part.call
+	if c.done && now.Before(c.deadline) {
+		return
+	}
+	u.observe(now, max(1, ratio), true)
+	u.lostInARow++
+	if u.lostInARow >= lostBeforeBackoff {
+		u.rest(now)
+		e.suspect(u, r)
+	}
+	if now.Before(c.deadline) && e.questions.lost(now, c.request.Question, u.ID) {
+		e.note(Note{Decision: DecisionPoison, RequestID: c.request.RequestID, Route: c.route.Name, Upstream: u.ID, Version: c.config.Version})
+	}
+}
+
+func (e *Engine) suspect(u *upstream, r Replied) {
+	e.note(Note{Decision: DecisionSuspect, Upstream: u.ID, Service: u.Service, Detail: r.Outcome.String() + ": " + r.Cause})
+}
+
+// retry sends a part again after an attempt brought no answer, if it may run
+// again and the budget allows it; otherwise the part is over.
+func (e *Engine) retry(now time.Time, p *part, a *attempt, r Replied) {
+	c := p.call
+	if r.Outcome == Failed {
+		c.failure = r.Payload
+	}
+	if r.Outcome == Unreached {
+		// It did not arrive: the next attempt is the first arrival.
+		p.attempts = slices.DeleteFunc(p.attempts, func(other *attempt) bool { return other == a })
+	}
+	if p.pending > 0 || p.waiting {
+		return
+	}
+	if !e.mayRepeat(now, p) {
+		p.over = true
+		return
+	}
+	e.stats.Retries++
+	e.note(Note{
+		Decision: DecisionRetry, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Upstream: a.to.ID,
+		Attempt: p.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: r.Outcome.String() + ": " + r.Cause,
+	})
+	e.send(now, p)
+	if p.over && r.Outcome.SurelyNotRun() && p.sends < maxAttempts {
+		e.resendLater(now, p)
+	}
+}
+
+// mayRepeat says whether a part may be sent once more.
+func (e *Engine) mayRepeat(now time.Time, p *part) bool {
+	c := p.call
+	if !c.route.Repeatable && p.executed {
+		return false
+	}
+	if p.ran() >= c.route.MaxUpstreams || p.sends >= maxAttempts || !now.Before(c.deadline) {
+		return false
+	}
+	if p.arrivals() == 0 {
+		return true
+	}
+	if !e.budget(p.service).allows(now, e.options.Extra, e.hosts) {
+		e.stats.ExtraDenied++
+		e.note(Note{Decision: DecisionNoBudget, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Version: c.config.Version})
+		return false
+	}
+	return true
+}
+
+// ran counts the upstreams on which a part runs, has run or may have run.
+func (p *part) ran() int {
+	count := 0
+	for _, a := range p.attempts {
+		if !a.notRun {
+			count++
+		}
+	}
+	return count
+}
+
+// resendLater tries the upstreams that refused a part again after a pause.
+func (e *Engine) resendLater(now time.Time, p *part) {
+	p.over = false
+	delay := resendDelay << p.sends
+	e.after(p.call, now.Add(delay), func(now time.Time) {
+		if p.in || p.pending > 0 {
+			return
+		}
+		if !e.mayRepeat(now, p) {
+			p.over = true
+		} else {
+			p.tried = p.ranAt()
+			e.send(now, p)
+		}
+		e.progress(now, p.call)
+	})
+}
+
+// ranAt returns the upstreams that must not be asked again for a part.
+func (p *part) ranAt() []*upstream {
+	var at []*upstream
+	for _, a := range p.attempts {
+		if !a.notRun {
+			at = append(at, a.to)
+		}
+	}
+	return at
+}
+
+// look asks a second upstream for the parts of a call that are late, within
+// the budget.
+//
+// It answers upstreams that pause or are slow while their twins are not: a
+// part that took hedgeFactor times the usual time is more likely behind a
+// pause than about to come.
+func (e *Engine) look(now time.Time, c *call) {
+	late := e.lateParts(now, c)
+	if c.route.IsGather() && float64(len(late)) > max(1, hedgeMost*float64(len(c.parts))) {
+		return
+	}
+	for _, p := range late {
+		if !e.mayRepeat(now, p) {
+			continue
+		}
+		before := p.pending
+		e.hedge(now, p)
+		if p.pending > before {
+			e.stats.Hedges++
+			last := p.attempts[len(p.attempts)-1]
+			e.note(Note{
+				Decision: DecisionHedge, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service,
+				Upstream: last.to.ID, Attempt: len(p.attempts), Version: c.config.Version, Age: now.Sub(p.attempts[0].sentAt),
+			})
+		}
+	}
+}
+
+// hedge starts a second attempt if an upstream that does not stand still can
+// take it now.
+func (e *Engine) hedge(now time.Time, p *part) {
+	c := p.call
+	service := c.config.Services[p.service]
+	usual := e.usualOf(c.route, p.service).estimate
+	u, _ := e.directory.pick(now, limits{
+		service:     Service{ID: p.service, ColdRate: service.ColdRate},
+		tried:       p.tried,
+		connections: e.connections(service),
+		usual:       usual,
+	})
+	if u == nil || u.stalled(now, usual) || now.Before(u.restsUntil) {
+		return
+	}
+	e.start(now, p, u, service)
+}
+
+// lateParts returns the parts whose newest attempt runs longer than usual.
+func (e *Engine) lateParts(now time.Time, c *call) []*part {
+	var late []*part
+	for _, p := range c.parts {
+		if p.in || p.over || p.pending == 0 || len(p.attempts) == 0 {
+			continue
+		}
+		newest := p.attempts[len(p.attempts)-1]
+		usual := e.usualOf(c.route, p.service).estimate
+		if now.Sub(newest.sentAt) > hedgeFactor*usual {
+			late = append(late, p)
+		}
+	}
+	return late
+}
--- /dev/null
+++ b/core/scatter/budget.go
@@ -0,0 +1,79 @@
+package scatter
+
+import "time"
+
+// extraBudget bounds the repeated sends to one service over a sliding window.
+// Every host holds a share: the ratio of the requests that it took itself, and
+// an equal part of the fixed allowance. The shares of all hosts add up to no
+// more than the tier's budget, with no message between them.
+//
+// It answers a wave of stragglers or failures, in which hosts that each repeat
+// what is late would double the load on upstreams that are already behind.
+type extraBudget struct {
+	requests window
+	extras   window
+}
+
+// bucketWidth is the resolution of a sliding window.
+const bucketWidth = time.Second
+
+// maxBuckets bounds the memory of a window; longer windows count the last
+// maxBuckets seconds only, which allows less.
+const maxBuckets = 32
+
+// window counts events in buckets of bucketWidth.
+type window struct {
+	newest int64 // number of the newest bucket
+	counts [maxBuckets]int
+}
+
+func bucketOf(now time.Time) int64 { return now.UnixNano() / int64(bucketWidth) }
+
+// advance clears the buckets that began since the last event.
+func (w *window) advance(bucket int64) {
+	for ; w.newest < bucket && bucket-w.newest <= maxBuckets; w.newest++ {
+		w.counts[(w.newest+1)%maxBuckets] = 0
+	}
+	if w.newest < bucket {
+		w.counts = [maxBuckets]int{}
+		w.newest = bucket
+	}
+}
+
+func (w *window) add(now time.Time) {
+	w.advance(bucketOf(now))
+	w.counts[w.newest%maxBuckets]++
+}
+
+// sum counts the events of the newest buckets, skipping some.
+func (w *window) sum(now time.Time, skip, buckets int) int {
+	w.advance(bucketOf(now))
+	total := 0
+	for i := skip; i < min(skip+buckets, maxBuckets) && int64(i) <= w.newest; i++ {
+		total += w.counts[(w.newest-int64(i))%maxBuckets]
+	}
+	return total
+}
+
+// ExtraLimits are the tier's bounds on repeated sends to one service.
+type ExtraLimits struct {
+	// Ratio of the requests, plus Allowance, may be sent again within Window.
+	Ratio     float64
+	Allowance float64
+	Window    time.Duration
+}
+
+// allows says whether one more repeated send stays within this host's share.
+// Extra sends are counted over one bucket more than the window, requests over
+// one less, so that no placement of the window exceeds the limit.
+func (b *extraBudget) allows(now time.Time, limits ExtraLimits, hosts int) bool {
+	buckets := max(2, int(limits.Window/bucketWidth))
+	spent := b.extras.sum(now, 0, buckets+1)
+	requests := b.requests.sum(now, 0, buckets-1)
+	share := limits.Ratio*float64(requests) + limits.Allowance/float64(max(1, hosts))
+	return float64(spent+1) <= budgetMargin*share
+}
+
+// budgetMargin is the part of the budget that is used. The rest covers sends
+// that are counted at the upstream in a later window than here.
+const budgetMargin = 0.9
--- /dev/null
+++ b/core/scatter/call.go
@@ -0,0 +1,402 @@
+package scatter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// lookEvery is the time between two looks at a call's late parts, as a
+	// share of the route's target.
+	lookEvery = 0.1
+	// holdUnsent is how long a request waits for a free upstream before it is
+	// refused, as a share of the route's target.
+	holdUnsent = 0.25
+	// minLook bounds the time between two looks from below.
+	minLook = 2 * time.Millisecond
+)
+
+// arrive routes a request and sends its parts, or refuses it at once.
+func (e *Engine) arrive(now time.Time, a Arrived) {
+	e.stats.Requests++
+	if e.config == nil {
+		e.refuseUnrouted(a, "no configuration is known yet")
+		return
+	}
+	route := e.config.Match(a.Host, a.Path)
+	if route == nil {
+		e.stats.NoRoute++
+		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: NoRoute})
+		e.note(Note{Decision: DecisionAnswer, RequestID: a.RequestID, Version: e.Version(), Detail: NoRoute.String()})
+		return
+	}
+	c := e.newCall(a, route)
+	for _, p := range c.parts {
+		e.budget(p.service).requests.add(now)
+	}
+	if e.questions.quarantined(now, a.Question) {
+		e.note(Note{Decision: DecisionPoison, RequestID: a.RequestID, Route: route.Name, Version: c.config.Version})
+		e.refuse(now, c, "the question broke several upstreams")
+		return
+	}
+	if reachable := e.reachableParts(c); reachable < c.needed() {
+		e.refuse(now, c, "too few services have an upstream")
+		return
+	}
+	e.calls[a.Call] = c
+	e.schedule(now, c)
+	for _, p := range c.parts {
+		e.send(now, p)
+	}
+	e.progress(now, c)
+}
+
+func (e *Engine) newCall(a Arrived, route *Route) *call {
+	c := &call{id: a.Call, request: a, route: route, config: e.config}
+	budget := route.Timeout
+	if a.Budget > 0 {
+		budget = min(budget, a.Budget)
+	}
+	c.deadline = a.At.Add(budget)
+	c.answerAt = a.At.Add(max(0, route.Target-e.options.AnswerMargin))
+	if c.answerAt.After(c.deadline) {
+		c.answerAt = c.deadline
+	}
+	services := route.Shards
+	if !route.IsGather() {
+		services = []core.ServiceID{e.target(route)}
+	}
+	parts := make([]part, len(services))
+	c.parts = make([]*part, len(services))
+	for i, id := range services {
+		parts[i] = part{call: c, service: id}
+		c.parts[i] = &parts[i]
+	}
+	return c
+}
+
+// target picks the service of a request that goes to one.
+func (e *Engine) target(route *Route) core.ServiceID {
+	if len(route.Targets) == 1 {
+		return route.Targets[0].Service
+	}
+	s := e.splits[route]
+	if s == nil {
+		s = &splitter{}
+		s.start(route.Targets, e.options.Random)
+		e.splits[route] = s
+	}
+	return s.next(route.Targets)
+}
+
+// needed is the least number of parts that an answer consists of.
+func (c *call) needed() int {
+	if c.route.IsGather() {
+		return c.route.MinParts()
+	}
+	return 1
+}
+
+// reachableParts counts the parts whose service has an upstream that may take
+// work.
+func (e *Engine) reachableParts(c *call) int {
+	count := 0
+	for _, p := range c.parts {
+		if slices.ContainsFunc(e.directory.byService[p.service], e.mayTake) {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *Engine) mayTake(u *upstream) bool { return !u.Draining && !e.directory.out[u.Domain] }
+
+// schedule sets the call's timers.
+func (e *Engine) schedule(now time.Time, c *call) {
+	e.after(c, c.deadline, func(now time.Time) { e.timeOut(now, c) })
+	if c.route.IsGather() {
+		e.after(c, c.answerAt, func(now time.Time) { e.progress(now, c) })
+	}
+	if c.route.Repeatable {
+		e.scheduleLook(now, c)
+	}
+}
+
+func (e *Engine) scheduleLook(now time.Time, c *call) {
+	next := now.Add(max(minLook, time.Duration(lookEvery*float64(c.route.Target))))
+	if next.After(c.deadline) {
+		return
+	}
+	e.after(c, next, func(now time.Time) {
+		e.look(now, c)
+		e.scheduleLook(now, c)
+	})
+}
+
+func (e *Engine) after(c *call, at time.Time, fire firing) {
+	c.timers = append(c.timers, e.timers.Add(at, func(now time.Time) {
+		if !c.done {
+			fire(now)
+		}
+	}))
+}
+
+// send starts an attempt at a part, if an upstream can take it; it waits if
+// one could take it soon, and is over if there is none.
+func (e *Engine) send(now time.Time, p *part) {
+	c := p.call
+	service := c.config.Services[p.service]
+	usual := e.usualOf(c.route, p.service)
+	u, busy := e.directory.pick(now, limits{
+		service:     Service{ID: p.service, ColdRate: service.ColdRate},
+		tried:       p.tried,
+		connections: e.connections(service),
+		usual:       usual.estimate,
+	})
+	switch {
+	case u != nil:
+		e.start(now, p, u, service)
+	case busy:
+		e.wait(now, p)
+	case p.pending == 0:
+		p.over = true
+	}
+}
+
+func (e *Engine) start(now time.Time, p *part, u *upstream, service Service) {
+	c := p.call
+	e.sequence++
+	a := &attempt{id: e.sequence, part: p, to: u, sentAt: now, extra: p.arrivals() > 0}
+	if a.extra {
+		e.budget(p.service).extras.add(now)
+		c.extras++
+	}
+	e.directory.spendCold(now, u, service)
+	u.running = append(u.running, a)
+	p.tried = append(p.tried, u)
+	p.attempts = append(p.attempts, a)
+	p.pending++
+	p.sends++
+	p.waiting = false
+	e.attempts[a.id] = a
+	e.stats.Sends++
+	e.out.Sends = append(e.out.Sends, Send{
+		Attempt:     a.id,
+		Call:        c.id,
+		Target:      u.Upstream,
+		Connections: e.connections(service),
+		Deadline:    c.deadline,
+		Repeatable:  c.route.Repeatable,
+	})
+}
+
+// arrivals counts the attempts that reached an upstream or may reach one.
+func (p *part) arrivals() int { return len(p.attempts) }
+
+// wait queues a part until an upstream of its service is free. A request that
+// was not offered to any upstream within holdUnsent is refused.
+func (e *Engine) wait(now time.Time, p *part) {
+	if p.waiting {
+		return
+	}
+	p.waiting = true
+	e.waiting[p.service] = append(e.waiting[p.service], p)
+	if p.call.route.IsGather() {
+		return
+	}
+	hold := time.Duration(holdUnsent * float64(p.call.route.Target))
+	e.after(p.call, now.Add(hold), func(now time.Time) {
+		if p.waiting && p.pending == 0 {
+			p.waiting, p.over = false, true
+			e.progress(now, p.call)
+		}
+	})
+}
+
+// serveWaiting starts the parts that wait for a service, most urgent first.
+func (e *Engine) serveWaiting(now time.Time, id core.ServiceID) {
+	queue := e.waiting[id]
+	if len(queue) == 0 {
+		return
+	}
+	delete(e.waiting, id)
+	slices.SortStableFunc(queue, func(a, b *part) int {
+		if a.call.route.Priority != b.call.route.Priority {
+			return a.call.route.Priority - b.call.route.Priority
+		}
+		return a.call.deadline.Compare(b.call.deadline)
+	})
+	for _, p := range queue {
+		if !p.waiting || p.call.done {
+			continue
+		}
+		p.waiting = false
+		e.send(now, p)
+	}
+}
+
+// progress answers a call once it can be, or fails it once it cannot be.
+func (e *Engine) progress(now time.Time, c *call) {
+	if c.done {
+		return
+	}
+	in, open := 0, 0
+	for _, p := range c.parts {
+		switch {
+		case p.in:
+			in++
+		case !p.over:
+			open++
+		}
+	}
+	needed := c.needed()
+	switch {
+	case in+open < needed:
+		e.fail(now, c)
+	case in < needed:
+	case open == 0 || !now.Before(c.answerAt):
+		e.answer(now, c, in)
+	}
+}
+
+// answer hands out what is in.
+func (e *Engine) answer(now time.Time, c *call, in int) {
+	answer := Answer{Call: c.id, Kind: PassedOn, Payload: c.parts[0].payload}
+	if c.route.IsGather() {
+		answer = Answer{Call: c.id, Kind: Gathered, Missing: len(c.parts) - in, Top: c.route.TopRecords}
+		answer.Parts = make([]any, 0, in)
+		for _, p := range c.parts {
+			if p.in {
+				answer.Parts = append(answer.Parts, p.payload)
+			}
+		}
+		e.stats.Gathered++
+		if answer.Missing > 0 {
+			e.stats.Partial++
+		}
+	}
+	e.stats.Answered++
+	e.finish(now, c, answer, "")
+}
+
+// fail ends a call that cannot be answered any more.
+func (e *Engine) fail(now time.Time, c *call) {
+	switch {
+	case c.failure != nil && !c.route.IsGather():
+		e.stats.Answered++
+		e.finish(now, c, Answer{Call: c.id, Kind: PassedOn, Payload: c.failure}, "the upstream's failure")
+	case c.mayHaveRun():
+		e.stats.Failed++
+		e.finish(now, c, Answer{Call: c.id, Kind: UpstreamsFailed}, "no upstream is left to ask")
+	default:
+		e.refuse(now, c, "no upstream took the request")
+	}
+}
+
+func (c *call) mayHaveRun() bool {
+	return slices.ContainsFunc(c.parts, func(p *part) bool { return p.executed || p.pending > 0 || p.in })
+}
+
+// timeOut ends a call at its deadline.
+func (e *Engine) timeOut(now time.Time, c *call) {
+	if !c.mayHaveRun() {
+		e.refuse(now, c, "no upstream was free in time")
+		return
+	}
+	e.stats.TimedOut++
+	e.finish(now, c, Answer{Call: c.id, Kind: TimedOut}, "")
+}
+
+// refuse ends a call of which nothing has run.
+func (e *Engine) refuse(now time.Time, c *call, why string) {
+	e.stats.Refused++
+	e.finish(now, c, Answer{Call: c.id, Kind: Refused, RetryAfter: e.retryAfter(now, c)}, why)
+}
+
+// refuseUnrouted refuses a request before its route is known.
+func (e *Engine) refuseUnrouted(a Arrived, why string) {
+	e.stats.Refused++
+	e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Refused, RetryAfter: unroutedRetry})
+	e.note(Note{Decision: DecisionRefuse, RequestID: a.RequestID, Detail: why})
+}
+
+// unroutedRetry is when a request may come back that met a starting host;
+// another host may take it at once.
+const unroutedRetry = 100 * time.Millisecond
+
+// retryShare is the mean wait before a refused request comes back, as a share
+// of the route's target. It is spread evenly from half to one and a half times
+// this, so that what was refused together does not return together.
+const retryShare = 0.5
+
+// maxRetryOfLeft is the longest wait, as a share of the time left to the
+// caller: callers that are told more come back earlier than that.
+const maxRetryOfLeft = 1.0 / 3
+
+func (e *Engine) retryAfter(now time.Time, c *call) time.Duration {
+	wait := time.Duration(retryShare * (0.5 + e.options.Random()) * float64(c.route.Target))
+	left := time.Duration(maxRetryOfLeft * float64(c.deadline.Sub(now)))
+	return max(0, min(wait, left))
+}
+
+func (e *Engine) finish(now time.Time, c *call, answer Answer, why string) {
+	c.done = true
+	delete(e.calls, c.id)
+	for _, timer := range c.timers {
+		e.timers.Stop(timer)
+	}
+	c.timers = nil
+	e.out.Answers = append(e.out.Answers, answer)
+	decision := DecisionAnswer
+	if answer.Kind == Refused {
+		decision = DecisionRefuse
+	}
+	detail := answer.Kind.String()
+	if why != "" {
+		detail += ": " + why
+	}
+	e.note(Note{
+		Decision:  decision,
+		RequestID: c.request.RequestID,
+		Route:     c.route.Name,
+		Service:   c.parts[0].service,
+		Version:   c.config.Version,
+		Age:       now.Sub(c.request.At),
+		Parts:     len(c.parts) - answer.Missing,
+		Missing:   answer.Missing,
+		Extra:     c.extras,
+		Detail:    detail,
+	})
+}
+
+// callerGone ends a call without an answer. Attempts that may run again are
+// ended too; one that may not is left to finish.
+func (e *Engine) callerGone(now time.Time, id core.CallID) {
+	c := e.calls[id]
+	if c == nil {
+		return
+	}
+	e.stats.CallersGone++
+	c.done = true
+	delete(e.calls, id)
+	for _, timer := range c.timers {
+		e.timers.Stop(timer)
+	}
+	c.timers = nil
+	e.note(Note{
+		Decision: DecisionAnswer, RequestID: c.request.RequestID, Route: c.route.Name, Version: c.config.Version,
+		Age: now.Sub(c.request.At), Detail: "the caller left",
+	})
+	if !c.route.Repeatable {
+		return
+	}
+	for _, p := range c.parts {
+		for _, a := range p.attempts {
+			if _, running := e.attempts[a.id]; running {
+				e.out.Cancels = append(e.out.Cancels, Cancel{Attempt: a.id})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/scatter/directory.go
@@ -0,0 +1,383 @@
+package scatter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// entryGrace is how long an upstream without an entry is kept after the
+	// registry came back: upstreams that live register again within 2 s.
+	entryGrace = 2300 * time.Millisecond
+	// lapsedShare of all entries that vanish together are taken for entries
+	// that lapsed while the registry was away, not for upstreams that ended.
+	lapsedShare = 0.3
+	// firstBackoff is how long an upstream rests after a connection failed; it
+	// doubles up to maxBackoff.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// misdirectedBackoff is how long an address rests at which another
+	// upstream answered.
+	misdirectedBackoff = 5 * time.Second
+	// lostBeforeBackoff lost answers in a row make an upstream rest.
+	lostBeforeBackoff = 3
+	// slownessGain is the weight of one observation in the estimates.
+	slownessGain = 0.25
+	// slownessHalfLife is how fast an estimate without observations fades, so
+	// that an upstream that was slow is tried again.
+	slownessHalfLife = 1500 * time.Millisecond
+	// maxSlowness bounds the effect of one observation.
+	maxSlowness = 20.0
+	// stallFactor times the usual time without an answer, and at least
+	// minStall, make an upstream count as standing still.
+	stallFactor = 3
+	minStall    = 30 * time.Millisecond
+	// stalledCost is added to the cost of an upstream that stands still, in
+	// usual times.
+	stalledCost = 12.0
+	// failureCost weighs the share of failed answers against time.
+	failureCost = 8.0
+	// remoteCost weighs traffic to another failure domain against time.
+	remoteCost = 1.15
+)
+
+// upstream is what this host believes of one upstream.
+type upstream struct {
+	Upstream
+	seenAt time.Time
+	// missingSince is when the entry was found missing; zero while it stands.
+	missingSince time.Time
+	removed      bool
+	coldUntil    time.Time
+	nextCold     time.Time // earliest next send while cold
+
+	running []*attempt // in order of their start
+
+	slowness   float64 // latency over the usual latency
+	failing    float64 // share of failed answers
+	observedAt time.Time
+	lostInARow int
+	backoffs   int
+	restsUntil time.Time
+	// tie orders upstreams of equal cost differently on each host.
+	tie float64
+}
+
+// directory holds the upstreams by ID and by service.
+type directory struct {
+	byID      map[core.UpstreamID]*upstream
+	byService map[core.ServiceID][]*upstream // sorted by ID
+	out       map[core.DomainID]bool
+	self      core.HostID
+	domain    core.DomainID
+	hosts     []core.HostID
+	// vanished counts the entries that were removed without having drained
+	// since vanishedAt.
+	vanished     int
+	vanishedAt   time.Time
+	reachable    bool
+	reachableAt  time.Time
+	everListed   bool
+	graceEnds    time.Time
+	pendingGrace []*upstream
+}
+
+func newDirectory(self core.HostID, domain core.DomainID) *directory {
+	return &directory{
+		byID:      map[core.UpstreamID]*upstream{},
+		byService: map[core.ServiceID][]*upstream{},
+		self:      self,
+		domain:    domain,
+		reachable: true,
+	}
+}
+
+// put takes an entry; it returns the decision to log, or none.
+func (d *directory) put(now time.Time, entry Upstream) Decision {
+	u := d.byID[entry.ID]
+	if u != nil && (u.Started != entry.Started || u.Address != entry.Address || u.Service != entry.Service) {
+		d.drop(u)
+		u = nil
+	}
+	if u == nil {
+		u = &upstream{Upstream: entry, slowness: 1, tie: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
+		d.byID[entry.ID] = u
+		list := d.byService[entry.Service]
+		at, _ := slices.BinarySearchFunc(list, u, byID)
+		d.byService[entry.Service] = slices.Insert(list, at, u)
+		d.warm(u, now, entry)
+		u.seenAt = now
+		return DecisionJoin
+	}
+	decision := Decision("")
+	if entry.Draining && !u.Draining {
+		decision = DecisionDrain
+	}
+	u.missingSince = time.Time{}
+	d.warm(u, now, entry)
+	u.Upstream, u.seenAt = entry, now
+	return decision
+}
+
+// warm notes how long the upstream stays cold.
+func (d *directory) warm(u *upstream, now time.Time, entry Upstream) {
+	if entry.ColdFor > 0 {
+		u.coldUntil = now.Add(entry.ColdFor)
+	}
+}
+
+func byID(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) }
+
+// drop forgets an upstream; attempts that run there end as they do.
+func (d *directory) drop(u *upstream) {
+	u.removed = true
+	delete(d.byID, u.ID)
+	list := d.byService[u.Service]
+	if at, found := slices.BinarySearchFunc(list, u, byID); found {
+		d.byService[u.Service] = slices.Delete(list, at, at+1)
+	}
+	if len(d.byService[u.Service]) == 0 {
+		delete(d.byService, u.Service)
+	}
+}
+
+// remove takes the removal of an entry. While entries may have lapsed without
+// their upstreams, the upstream is kept for the grace period.
+func (d *directory) remove(now time.Time, id core.UpstreamID) (*upstream, Decision) {
+	u := d.byID[id]
+	if u == nil {
+		return nil, ""
+	}
+	if !u.Draining && (d.mayHaveLapsed(now) || d.vanishes(now)) {
+		d.miss(now, u)
+		return u, DecisionKeep
+	}
+	d.drop(u)
+	return u, DecisionRemove
+}
+
+// mayHaveLapsed says that the registry is away or came back just now.
+func (d *directory) mayHaveLapsed(now time.Time) bool {
+	return !d.reachable || now.Before(d.graceEnds)
+}
+
+// vanishes counts a removal and says whether too many came together.
+func (d *directory) vanishes(now time.Time) bool {
+	if now.Sub(d.vanishedAt) > time.Second {
+		d.vanished, d.vanishedAt = 0, now
+	}
+	d.vanished++
+	return float64(d.vanished) > max(2, lapsedShare*float64(len(d.byID)))
+}
+
+func (d *directory) miss(now time.Time, u *upstream) {
+	if u.missingSince.IsZero() {
+		u.missingSince = now
+		d.pendingGrace = append(d.pendingGrace, u)
+	}
+	if d.graceEnds.Before(now) {
+		d.graceEnds = now.Add(entryGrace)
+	}
+}
+
+// list takes the whole registry. Upstreams without an entry are removed, or
+// missed if their entries may have lapsed.
+func (d *directory) list(now time.Time, entries []Upstream, note func(*upstream, Decision)) {
+	present := make(map[core.UpstreamID]bool, len(entries))
+	for _, entry := range entries {
+		present[entry.ID] = true
+		if decision := d.put(now, entry); decision != "" {
+			note(d.byID[entry.ID], decision)
+		}
+	}
+	for _, u := range d.sorted() {
+		if present[u.ID] {
+			continue
+		}
+		if u, decision := d.remove(now, u.ID); u != nil {
+			note(u, decision)
+		}
+	}
+	d.everListed = true
+}
+
+func (d *directory) sorted() []*upstream {
+	all := make([]*upstream, 0, len(d.byID))
+	for _, u := range d.byID {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, byID)
+	return all
+}
+
+// setReachable notes that the registry stopped or began to answer.
+func (d *directory) setReachable(now time.Time, reachable bool) {
+	if reachable && !d.reachable {
+		d.graceEnds = now.Add(entryGrace)
+	}
+	d.reachable = reachable
+}
+
+// expire removes the upstreams whose entries did not come back in time.
+func (d *directory) expire(now time.Time, note func(*upstream, Decision)) {
+	if len(d.pendingGrace) == 0 || !d.reachable || now.Before(d.graceEnds) {
+		return
+	}
+	for _, u := range d.pendingGrace {
+		if !u.missingSince.IsZero() && !u.removed {
+			d.drop(u)
+			note(u, DecisionRemove)
+		}
+	}
+	d.pendingGrace = nil
+}
+
+// limits is what one pick has to keep to.
+type limits struct {
+	service Service
+	tried   []*upstream
+	// connections is the most requests that this host may have at one
+	// upstream.
+	connections int
+	// usual is the usual latency of the request.
+	usual time.Duration
+}
+
+// pick returns the upstream of a service with the least expected time for a
+// new request, or nil. Busy is true when an upstream could take it but is at
+// its limit.
+//
+// It answers upstreams that stand still or turn slow one by one: the choice
+// rests on this host's own requests, which show a pause within minStall.
+func (d *directory) pick(now time.Time, l limits) (best *upstream, busy bool) {
+	var resting *upstream
+	bestCost := math.Inf(1)
+	for _, u := range d.byService[l.service.ID] {
+		if u.Draining || d.out[u.Domain] || slices.Contains(l.tried, u) {
+			continue
+		}
+		if len(u.running) >= l.connections || !d.coldAllows(now, u, l.service) {
+			busy = true
+			continue
+		}
+		if now.Before(u.restsUntil) {
+			if len(u.running) == 0 && (resting == nil || u.restsUntil.Before(resting.restsUntil)) {
+				resting = u
+			}
+			continue
+		}
+		if cost := d.cost(now, u, l.usual); cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	if best == nil {
+		best = resting // nothing better is left
+	}
+	return best, busy
+}
+
+// cost is the expected time of a new request in usual times.
+func (d *directory) cost(now time.Time, u *upstream, usual time.Duration) float64 {
+	slots := float64(max(1, u.Slots))
+	cost := u.slownessAt(now) * (1 + float64(len(u.running))/slots)
+	cost += failureCost * u.failing * u.fade(now)
+	if u.stalled(now, usual) {
+		cost += stalledCost
+	}
+	if u.Domain != d.domain {
+		cost *= remoteCost
+	}
+	return cost + u.tie
+}
+
+// stalled says that the oldest running request is overdue, with no answer
+// since it was sent.
+func (u *upstream) stalled(now time.Time, usual time.Duration) bool {
+	if len(u.running) == 0 {
+		return false
+	}
+	return now.Sub(u.running[0].sentAt) > max(minStall, stallFactor*usual)
+}
+
+func (u *upstream) fade(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(u.observedAt)) / float64(slownessHalfLife))
+}
+
+func (u *upstream) slownessAt(now time.Time) float64 {
+	return 1 + (u.slowness-1)*u.fade(now)
+}
+
+// observe takes the latency of an answer, as a multiple of the usual one.
+func (u *upstream) observe(now time.Time, ratio float64, failed bool) {
+	current, failing := u.slownessAt(now), u.failing*u.fade(now)
+	u.slowness = current + slownessGain*(min(ratio, maxSlowness)-current)
+	u.failing = failing * (1 - slownessGain)
+	if failed {
+		u.failing += slownessGain
+	}
+	u.observedAt = now
+}
+
+// rest keeps new requests away for a while that doubles each time.
+func (u *upstream) rest(now time.Time) {
+	wait := min(maxBackoff, firstBackoff<<min(u.backoffs, 8))
+	u.backoffs++
+	u.restsUntil = now.Add(wait)
+}
+
+func (u *upstream) trust() {
+	u.backoffs, u.lostInARow = 0, 0
+	u.restsUntil = time.Time{}
+}
+
+// coldAllows says whether a cold upstream may be sent one more request by this
+// host. A few hosts, chosen by hash, share what a cold upstream bears; the
+// others leave it alone.
+func (d *directory) coldAllows(now time.Time, u *upstream, s Service) bool {
+	if s.ColdRate <= 0 || !now.Before(u.coldUntil) {
+		return true
+	}
+	senders := max(1, min(len(d.hosts), int(coldSenders+coldSenderShare*s.ColdRate)))
+	if d.rank(u) >= senders {
+		return false
+	}
+	return !now.Before(u.nextCold)
+}
+
+// Each sender may be one request ahead of its rate: so many of them stay
+// within the overshoot that a cold upstream bears.
+const (
+	coldSenders     = 1.0
+	coldSenderShare = 0.3
+)
+
+// spendCold delays this host's next request to a cold upstream.
+func (d *directory) spendCold(now time.Time, u *upstream, s Service) {
+	if s.ColdRate <= 0 || !now.Before(u.coldUntil) {
+		return
+	}
+	senders := max(1, min(len(d.hosts), int(coldSenders+coldSenderShare*s.ColdRate)))
+	u.nextCold = now.Add(time.Duration(float64(senders) / s.ColdRate * float64(time.Second)))
+}
+
+// rank is this host's place among all hosts for one upstream, by rendezvous
+// hashing.
+func (d *directory) rank(u *upstream) int {
+	mine, rank := rendezvous(d.self, u.ID), 0
+	for _, h := range d.hosts {
+		if h != d.self && rendezvous(h, u.ID) < mine {
+			rank++
+		}
+	}
+	return rank
+}
+
+func rendezvous(h core.HostID, id core.UpstreamID) uint64 {
+	return xxhash.Sum64String(string(h) + "\x00" + string(id))
+}
--- /dev/null
+++ b/core/scatter/engine.go
@@ -0,0 +1,251 @@
+package scatter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/schedule"
+)
+
+// Options is what an Engine is made of.
+type Options struct {
+	Self   core.HostID
+	Domain core.DomainID
+	Extra  ExtraLimits
+	// AnswerMargin is how long before a route's target an answer leaves, which
+	// covers the way from and to the caller.
+	AnswerMargin time.Duration
+	// Hosts is how many hosts are assumed to share the budgets until they have
+	// been counted.
+	Hosts int
+	// Random returns a number in [0, 1).
+	Random func() float64
+}
+
+// Engine is the decision core of one host. It is not safe for concurrent use.
+type Engine struct {
+	options   Options
+	config    *Config
+	directory *directory
+	hosts     int
+	calls     map[core.CallID]*call
+	attempts  map[uint64]*attempt
+	sequence  uint64
+	timers    schedule.Timers[firing]
+	budgets   map[core.ServiceID]*extraBudget
+	usual     map[usualKey]*usualTime
+	waiting   map[core.ServiceID][]*part
+	questions questions
+	splits    map[*Route]*splitter
+	out       *Actions
+	stats     Stats
+}
+
+// Stats counts decisions since the start.
+type Stats struct {
+	Requests, Answered, Gathered, Refused, Failed, TimedOut, NoRoute uint64
+	Sends, Hedges, Retries, ExtraDenied, Late, Partial, CallersGone  uint64
+}
+
+// firing runs when a timer is due.
+type firing func(now time.Time)
+
+// call is one caller's request.
+type call struct {
+	id       core.CallID
+	request  Arrived
+	route    *Route
+	config   *Config
+	parts    []*part
+	deadline time.Time
+	// answerAt is when a gather is answered with the parts at hand.
+	answerAt time.Time
+	extras   int
+	done     bool
+	timers   []*schedule.Timer[firing]
+	// failure is the last failure answer of an upstream, to pass on.
+	failure any
+}
+
+// part is what one service contributes to a call.
+type part struct {
+	call     *call
+	service  core.ServiceID
+	tried    []*upstream
+	attempts []*attempt // those that reached an upstream or may reach it
+	sends    int        // all that were started
+	pending  int        // attempts that run
+	payload  any
+	in       bool // the answer is here
+	over     bool // nothing more will be tried
+	waiting  bool // for an upstream to be free
+	executed bool // an attempt has run or may have
+}
+
+// attempt is one send of a part.
+type attempt struct {
+	id     uint64
+	part   *part
+	to     *upstream
+	sentAt time.Time
+	extra  bool
+	notRun bool // known once it has ended
+}
+
+// New returns an Engine that knows no configuration.
+func New(options Options) *Engine {
+	return &Engine{
+		options:   options,
+		directory: newDirectory(options.Self, options.Domain),
+		hosts:     max(1, options.Hosts),
+		calls:     map[core.CallID]*call{},
+		attempts:  map[uint64]*attempt{},
+		budgets:   map[core.ServiceID]*extraBudget{},
+		usual:     map[usualKey]*usualTime{},
+		waiting:   map[core.ServiceID][]*part{},
+		questions: questions{},
+		splits:    map[*Route]*splitter{},
+	}
+}
+
+// Ready says that requests can be answered: a configuration and the upstreams
+// are known.
+func (e *Engine) Ready() bool { return e.config != nil && e.directory.everListed }
+
+// Limits returns what the configuration in force allows callers; false while
+// none is known.
+func (e *Engine) Limits() (CallerLimits, bool) {
+	if e.config == nil {
+		return CallerLimits{}, false
+	}
+	return e.config.Limits, true
+}
+
+// Version returns the configuration version in force, 0 for none.
+func (e *Engine) Version() uint64 {
+	if e.config == nil {
+		return 0
+	}
+	return e.config.Version
+}
+
+// Running returns the number of calls that have no answer yet.
+func (e *Engine) Running() int { return len(e.calls) }
+
+// Stats returns the counters.
+func (e *Engine) Stats() Stats { return e.stats }
+
+// Next returns when the earliest timer is due; the zero time is none.
+func (e *Engine) Next() time.Time { return e.timers.Next() }
+
+// Step takes one event and appends what is to be done. It also runs the timers
+// that are due at now. Time never runs backwards between calls.
+func (e *Engine) Step(now time.Time, event Event, out *Actions) {
+	e.out = out
+	for {
+		fire, due := e.timers.Pop(now)
+		if !due {
+			break
+		}
+		fire(now)
+	}
+	e.take(now, event)
+}
+
+func (e *Engine) take(now time.Time, event Event) {
+	switch event := event.(type) {
+	case Arrived:
+		e.arrive(now, event)
+	case Replied:
+		e.replied(now, event)
+	case CallerGone:
+		e.callerGone(now, event.Call)
+	case ConfigSeen:
+		e.setConfig(event.Config)
+	case UpstreamsListed:
+		e.directory.list(now, event.Upstreams, e.noteUpstream)
+		e.graceTimer(now)
+	case UpstreamSeen:
+		if decision := e.directory.put(now, event.Upstream); decision != "" {
+			e.noteUpstream(e.directory.byID[event.Upstream.ID], decision)
+		}
+	case UpstreamRemoved:
+		if u, decision := e.directory.remove(now, event.ID); u != nil {
+			e.noteUpstream(u, decision)
+		}
+		e.graceTimer(now)
+	case DomainsOut:
+		e.setDomains(event.Domains)
+	case HostsSeen:
+		e.setHosts(event.Hosts)
+	case StoreReachable:
+		e.directory.setReachable(now, event.Reachable)
+		e.graceTimer(now)
+	case Tick:
+	}
+}
+
+// graceTimer looks again when the entries that may have lapsed are due back.
+func (e *Engine) graceTimer(now time.Time) {
+	if len(e.directory.pendingGrace) == 0 || !e.directory.reachable {
+		return
+	}
+	at := e.directory.graceEnds
+	if at.Before(now) {
+		at = now
+	}
+	e.timers.Add(at, func(now time.Time) { e.directory.expire(now, e.noteUpstream) })
+}
+
+// setConfig puts a newer version in force; an older one is ignored.
+func (e *Engine) setConfig(c *Config) {
+	if e.config != nil && c.Version <= e.config.Version {
+		return
+	}
+	e.config = c
+	e.splits = map[*Route]*splitter{}
+	for id := range e.budgets {
+		if _, known := c.Services[id]; !known {
+			delete(e.budgets, id)
+		}
+	}
+	e.note(Note{Decision: DecisionConfig, Version: c.Version})
+}
+
+func (e *Engine) setDomains(out map[core.DomainID]bool) {
+	e.directory.out = out
+	names := make([]string, 0, len(out))
+	for id := range out {
+		names = append(names, string(id))
+	}
+	slices.Sort(names)
+	e.note(Note{Decision: DecisionDomains, Version: e.Version(), Detail: joined(names)})
+}
+
+func (e *Engine) setHosts(hosts []core.HostID) {
+	e.directory.hosts = hosts
+	e.hosts = max(1, len(hosts))
+	e.note(Note{Decision: DecisionHosts, Parts: len(hosts)})
+}
+
+func (e *Engine) note(n Note) { e.out.Notes = append(e.out.Notes, n) }
+
+func (e *Engine) noteUpstream(u *upstream, decision Decision) {
+	e.note(Note{Decision: decision, Upstream: u.ID, Service: u.Service, Version: e.Version(), Detail: u.Address})
+}
+
+func (e *Engine) budget(id core.ServiceID) *extraBudget {
+	b := e.budgets[id]
+	if b == nil {
+		b = &extraBudget{}
+		e.budgets[id] = b
+	}
+	return b
+}
+
+// connections is how many connections this host may hold to an upstream of a
+// service: an equal part of what the upstream takes, and at least one.
+func (e *Engine) connections(s Service) int {
+	return max(1, s.Connections/e.hosts)
+}
--- /dev/null
+++ b/core/scatter/event.go
@@ -0,0 +1,125 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+// Event is what the engine learns.
+type Event interface{ isEvent() }
+
+// Arrived is a caller's request, read whole.
+type Arrived struct {
+	Call core.CallID
+	// RequestID is the caller's name for the request, for the log.
+	RequestID string
+	Host      string
+	Path      string
+	// Budget is how long the caller waits, 0 when it did not say.
+	Budget time.Duration
+	// At is when the request had been read.
+	At time.Time
+	// Question identifies what is asked, whoever asks it.
+	Question core.Fingerprint
+}
+
+// CallerGone says that the caller closed its connection.
+type CallerGone struct{ Call core.CallID }
+
+// Replied is the end of one attempt.
+type Replied struct {
+	Attempt uint64
+	Outcome Outcome
+	// Leaving says that the upstream announced its end.
+	Leaving bool
+	// Payload is the upstream's answer; the engine hands it on unread.
+	Payload any
+	// Cause describes a failure, for the log.
+	Cause string
+}
+
+// ConfigSeen is a version of the configuration, which may be an old one.
+type ConfigSeen struct{ Config *Config }
+
+// UpstreamsListed is the whole list of registered upstreams.
+type UpstreamsListed struct{ Upstreams []Upstream }
+
+// UpstreamSeen is the changed entry of one upstream.
+type UpstreamSeen struct{ Upstream Upstream }
+
+// UpstreamRemoved says that an upstream's entry is gone.
+type UpstreamRemoved struct{ ID core.UpstreamID }
+
+// DomainsOut is the set of failure domains that operators took out.
+type DomainsOut struct{ Domains map[core.DomainID]bool }
+
+// HostsSeen is the sorted list of the hosts that share the tier's budgets.
+type HostsSeen struct{ Hosts []core.HostID }
+
+// StoreReachable says whether the registry of upstreams answers this host.
+type StoreReachable struct{ Reachable bool }
+
+// Tick runs the timers that are due.
+type Tick struct{}
+
+func (Arrived) isEvent()         {}
+func (CallerGone) isEvent()      {}
+func (Replied) isEvent()         {}
+func (ConfigSeen) isEvent()      {}
+func (UpstreamsListed) isEvent() {}
+func (UpstreamSeen) isEvent()    {}
+func (UpstreamRemoved) isEvent() {}
+func (DomainsOut) isEvent()      {}
+func (HostsSeen) isEvent()       {}
+func (StoreReachable) isEvent()  {}
+func (Tick) isEvent()            {}
+
+// Upstream is the registry's entry of one upstream.
+type Upstream struct {
+	ID      core.UpstreamID
+	Service core.ServiceID
+	Domain  core.DomainID
+	// Address is "ip:port".
+	Address string
+	// Slots is how many requests the upstream runs at once.
+	Slots int
+	// Draining upstreams take no new work.
+	Draining bool
+	// ColdFor is how long the upstream stays slow after its start, as of its
+	// last entry.
+	ColdFor time.Duration
+	// Started is the upstream's start in unix milliseconds, which tells two
+	// starts under one ID apart.
+	Started int64
+}
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Succeeded: the upstream's whole answer to this request, a success.
+	Succeeded Outcome = iota
+	// Failed: the upstream's whole answer to this request, a failure.
+	Failed
+	// NotExecuted: the upstream says that it did not run the request.
+	NotExecuted
+	// WrongInstance: another upstream has the address; it did not run the
+	// request.
+	WrongInstance
+	// Unreached: no byte of the request was sent.
+	Unreached
+	// Lost: the request was sent and has no answer; it may have run.
+	Lost
+)
+
+var outcomeNames = [...]string{"succeeded", "failed", "not executed", "wrong instance", "unreached", "lost"}
+
+// String returns the outcome as the log prints it.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// SurelyNotRun says that the attempt did not run and never will.
+func (o Outcome) SurelyNotRun() bool {
+	return o == NotExecuted || o == WrongInstance || o == Unreached
+}
--- /dev/null
+++ b/core/scatter/merge.go
@@ -0,0 +1,56 @@
+package scatter
+
+import "encoding/binary"
+
+// RecordSize is the size of one record of a part, in bytes.
+const RecordSize = 16
+
+// record is one record in a form that compares fast: byte order is the order
+// of the pair.
+type record struct{ high, low uint64 }
+
+func (r record) less(other record) bool {
+	return r.high < other.high || r.high == other.high && r.low < other.low
+}
+
+// TopRecords returns the greatest records of all parts, greatest first, at
+// most top of them. Equal records all count; a remainder of a part that is
+// shorter than a record is ignored.
+func TopRecords(parts [][]byte, top int) []byte {
+	kept := make([]record, 0, top) // falling
+	for _, part := range parts {
+		for ; len(part) >= RecordSize; part = part[RecordSize:] {
+			r := record{binary.BigEndian.Uint64(part), binary.BigEndian.Uint64(part[8:])}
+			kept = insert(kept, r, top)
+		}
+	}
+	body := make([]byte, 0, len(kept)*RecordSize)
+	for _, r := range kept {
+		body = binary.BigEndian.AppendUint64(body, r.high)
+		body = binary.BigEndian.AppendUint64(body, r.low)
+	}
+	return body
+}
+
+// insert puts a record into its place among the top ones.
+func insert(kept []record, r record, top int) []record {
+	if len(kept) >= top {
+		if top <= 0 || !kept[len(kept)-1].less(r) {
+			return kept
+		}
+	} else {
+		kept = append(kept, record{})
+	}
+	low, high := 0, len(kept)-1
+	for low < high {
+		middle := (low + high) / 2
+		if kept[middle].less(r) {
+			high = middle
+		} else {
+			low = middle + 1
+		}
+	}
+	copy(kept[low+1:], kept[low:len(kept)-1])
+	kept[low] = r
+	return kept
+}
--- /dev/null
+++ b/edge/decision.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/ring"
+)
+
+const (
+	// inboxSize is the most events that wait for the decision duty. A caller's
+	// request that finds it full is refused; other events wait for room, since
+	// their number is bounded by what the host itself started.
+	inboxSize = 16384
+	// eventBatch is the most events between two looks at what is due.
+	eventBatch = 256
+)
+
+// input is what the decision duty takes: an event, or a question about the
+// core's state.
+type input struct {
+	event scatter.Event
+	ask   func(*scatter.Engine)
+}
+
+// decision is the duty that drives the core; no other duty touches it.
+type decision struct {
+	core    *scatter.Engine
+	inbox   *ring.Ring[input]
+	perform func(now time.Time, actions *scatter.Actions)
+	actions scatter.Actions
+}
+
+// run drives the core until the inbox is closed and empty.
+func (d *decision) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	batch := make([]input, 0, eventBatch)
+	for {
+		batch = d.inbox.Drain(batch[:0])
+		for _, in := range batch {
+			d.take(in)
+		}
+		clear(batch) // let go of the payloads
+		if len(batch) > 0 {
+			continue
+		}
+		if d.inbox.Closed() {
+			return
+		}
+		d.wait(timer)
+	}
+}
+
+func (d *decision) take(in input) {
+	if in.ask != nil {
+		in.ask(d.core)
+		return
+	}
+	d.step(in.event)
+}
+
+// wait sleeps until an event comes or a timer is due, which it runs.
+func (d *decision) wait(timer *time.Timer) {
+	due := d.core.Next()
+	if due.IsZero() {
+		<-d.inbox.Ready()
+		return
+	}
+	timer.Reset(time.Until(due))
+	select {
+	case <-d.inbox.Ready():
+	case <-timer.C:
+		d.step(scatter.Tick{})
+	}
+}
+
+func (d *decision) step(event scatter.Event) {
+	d.actions.Reset()
+	now := time.Now()
+	d.core.Step(now, event, &d.actions)
+	d.perform(now, &d.actions)
+}
+
+// ask runs a question on the decision duty and waits for it; false means that
+// the duty has ended.
+func (d *decision) ask(question func(*scatter.Engine)) bool {
+	answered := make(chan struct{})
+	put := d.inbox.PutWait(input{ask: func(e *scatter.Engine) {
+		question(e)
+		close(answered)
+	}})
+	if put {
+		<-answered
+	}
+	return put
+}
--- /dev/null
+++ b/edge/front.go
@@ -0,0 +1,151 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+const (
+	// fallbackHeaderTimeout and fallbackIdleTimeout hold while the operators'
+	// configuration is not known.
+	fallbackHeaderTimeout = 10 * time.Second
+	fallbackIdleTimeout   = 60 * time.Second
+	fallbackHeaderBytes   = 64 << 10
+	fallbackBodyBytes     = 1 << 20
+)
+
+// pending is a caller's request that has no answer yet.
+type pending struct {
+	request platform.CallerRequest
+	answer  chan scatter.Answer // holds the answer
+}
+
+// front takes requests from callers.
+type front struct {
+	inbox    func(scatter.Event) bool
+	metrics  *meters
+	server   *http.Server
+	sequence atomic.Uint64
+	stopping atomic.Bool
+	maxBody  atomic.Int64
+
+	mu    sync.Mutex
+	calls map[core.CallID]*pending
+}
+
+func newFront(inbox func(scatter.Event) bool, m *meters) *front {
+	f := &front{inbox: inbox, metrics: m, calls: map[core.CallID]*pending{}}
+	f.maxBody.Store(fallbackBodyBytes)
+	f.server = &http.Server{
+		Handler:           http.HandlerFunc(f.serve),
+		ReadHeaderTimeout: fallbackHeaderTimeout,
+		IdleTimeout:       fallbackIdleTimeout,
+		MaxHeaderBytes:    fallbackHeaderBytes,
+	}
+	return f
+}
+
+// limit takes what the configuration in force allows callers.
+func (f *front) limit(limits scatter.CallerLimits) {
+	if limits.MaxBodyBytes > 0 {
+		f.maxBody.Store(limits.MaxBodyBytes)
+	}
+}
+
+func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, f.maxBody.Load())
+	request, err := platform.ReadRequest(r)
+	if err != nil {
+		var readError *platform.ReadError
+		if errors.As(err, &readError) {
+			platform.WriteReadError(w, readError)
+		}
+		return
+	}
+	started := time.Now()
+	answer, left := f.ask(r.Context(), request, started)
+	if left {
+		return
+	}
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := platform.WriteAnswer(w, request, answer); err != nil {
+		f.metrics.answersCut.Inc(1)
+	}
+	f.metrics.latency.UpdateSince(started)
+}
+
+// ask puts a request to the core and waits for its answer; left means that the
+// caller closed its connection first.
+func (f *front) ask(ctx context.Context, request platform.CallerRequest, at time.Time) (answer scatter.Answer, left bool) {
+	call := core.CallID(f.sequence.Add(1))
+	p := &pending{request: request, answer: make(chan scatter.Answer, 1)}
+	f.mu.Lock()
+	f.calls[call] = p
+	f.mu.Unlock()
+	defer f.forget(call)
+	arrived := scatter.Arrived{
+		Call: call, RequestID: request.ID, Host: request.Host, Path: request.Path,
+		Budget: request.Budget, At: at, Question: request.Question,
+	}
+	if !f.inbox(arrived) {
+		f.metrics.inboxFull.Inc(1)
+		return scatter.Answer{Kind: scatter.Refused, RetryAfter: fullRetry}, false
+	}
+	select {
+	case answer := <-p.answer:
+		return answer, false
+	case <-ctx.Done():
+		f.inbox(scatter.CallerGone{Call: call})
+		return scatter.Answer{}, true
+	}
+}
+
+// fullRetry is when a request may come back that found the inbox full.
+const fullRetry = 200 * time.Millisecond
+
+func (f *front) forget(call core.CallID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.calls, call)
+}
+
+// forward returns what upstreams get for a call; nil when its caller is gone.
+func (f *front) forward(call core.CallID) *platform.Forward {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.calls[call]; p != nil {
+		return p.request.Forward
+	}
+	return nil
+}
+
+// answer hands an answer to the waiting request.
+func (f *front) answer(answer scatter.Answer) {
+	f.mu.Lock()
+	p := f.calls[answer.Call]
+	f.mu.Unlock()
+	if p != nil {
+		p.answer <- answer
+	}
+}
+
+func (f *front) run(listener net.Listener) error {
+	if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// sampleSize and sampleAlpha shape the latency histogram's reservoir, which
+// leans towards the last five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// meters are the host's counters and histograms.
+type meters struct {
+	registry   metrics.Registry
+	latency    latency
+	answersCut metrics.Counter
+	inboxFull  metrics.Counter
+	logDropped metrics.Counter
+	outcomes   map[scatter.Outcome]metrics.Counter
+}
+
+// latency is a histogram of milliseconds.
+type latency struct{ histogram metrics.Histogram }
+
+// UpdateSince adds the time since a start.
+func (l latency) UpdateSince(started time.Time) {
+	l.histogram.Update(time.Since(started).Microseconds())
+}
+
+func newMeters() *meters {
+	r := metrics.NewRegistry()
+	m := &meters{
+		registry:   r,
+		latency:    latency{metrics.NewRegisteredHistogram("request_us", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))},
+		answersCut: metrics.NewRegisteredCounter("answers_cut", r),
+		inboxFull:  metrics.NewRegisteredCounter("inbox_full", r),
+		logDropped: metrics.NewRegisteredCounter("log_lines_dropped", r),
+		outcomes:   map[scatter.Outcome]metrics.Counter{},
+	}
+	for o := scatter.Succeeded; o <= scatter.Lost; o++ {
+		m.outcomes[o] = metrics.NewRegisteredCounter("attempts_"+metricName(o.String()), r)
+	}
+	return m
+}
+
+func metricName(text string) string {
+	name := []byte(text)
+	for i, c := range name {
+		if c == ' ' {
+			name[i] = '_'
+		}
+	}
+	return string(name)
+}
+
+// writeText prints all metrics, a line each, sorted by name.
+func (m *meters) writeText(w io.Writer) {
+	var lines []string
+	m.registry.Each(func(name string, metric any) {
+		switch metric := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("samphirebeam_%s %d", name, metric.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("samphirebeam_%s %d", name, metric.Value()))
+		case metrics.Histogram:
+			s := metric.Snapshot()
+			lines = append(lines, fmt.Sprintf("samphirebeam_%s_count %d", name, s.Count()))
+			for _, q := range []float64{0.5, 0.9, 0.99, 0.999} {
+				lines = append(lines, fmt.Sprintf("samphirebeam_%s{quantile=\"%g\"} %.0f", name, q, s.Percentile(q)))
+			}
+		}
+	})
+	sort.Strings(lines)
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(w, line) // the reader may leave early
+	}
+}
+
+// serveMetrics answers with the metrics and the core's counters.
+func (h *Host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	var stats scatter.Stats
+	var running int
+	var version uint64
+	if !h.decision.ask(func(e *scatter.Engine) { stats, running, version = e.Stats(), e.Running(), e.Version() }) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	opened, open := h.sender.pools.counts()
+	set := func(name string, value int64) {
+		metrics.GetOrRegisterGauge(name, h.meters.registry).Update(value)
+	}
+	set("calls_running", int64(running))
+	set("config_version", int64(version))
+	set("upstream_connections", int64(open))
+	set("upstream_connections_opened", int64(opened))
+	set("store_calls", int64(h.objects.Calls()))
+	for name, value := range map[string]uint64{
+		"requests": stats.Requests, "answered": stats.Answered, "gathered": stats.Gathered, "partial": stats.Partial,
+		"refused": stats.Refused, "failed": stats.Failed, "timed_out": stats.TimedOut, "no_route": stats.NoRoute,
+		"sends": stats.Sends, "hedges": stats.Hedges, "retries": stats.Retries, "extra_denied": stats.ExtraDenied,
+		"late_replies": stats.Late, "callers_gone": stats.CallersGone,
+	} {
+		set(name, int64(value))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	h.meters.writeText(w)
+}
--- /dev/null
+++ b/edge/sender.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// largeBody is the size from which a body is written beside reading the
+// answer, since an upstream may answer before it has read everything.
+const largeBody = 4 << 10
+
+// sender carries out the core's sends. Each runs on a goroutine of its own; the
+// core bounds their number.
+type sender struct {
+	report func(scatter.Event)
+	pools  *pools
+	dialer net.Dialer
+
+	mu      sync.Mutex
+	running map[uint64]*sending
+	done    sync.WaitGroup
+}
+
+// sending is one send that runs.
+type sending struct {
+	cancel    context.CancelFunc
+	conn      net.Conn // set once there is one
+	cancelled bool
+}
+
+func newSender(report func(scatter.Event)) *sender {
+	return &sender{
+		report:  report,
+		pools:   newPools(),
+		dialer:  net.Dialer{KeepAlive: -1},
+		running: map[uint64]*sending{},
+	}
+}
+
+// send starts an attempt.
+func (s *sender) send(send scatter.Send, forward *platform.Forward) {
+	state := &sending{}
+	s.mu.Lock()
+	s.running[send.Attempt] = state
+	s.mu.Unlock()
+	s.pools.begin(send)
+	s.done.Go(func() {
+		replied, c := s.run(send, forward, state)
+		s.mu.Lock()
+		delete(s.running, send.Attempt)
+		cancelled := state.cancelled
+		s.mu.Unlock()
+		if cancelled && c != nil {
+			_ = c.raw.Close()
+			c = nil
+		}
+		s.pools.end(send, c, time.Now())
+		s.report(replied)
+	})
+}
+
+// cancel ends an attempt by closing its connection.
+func (s *sender) cancel(attempt uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.running[attempt]
+	if state == nil {
+		return
+	}
+	state.cancelled = true
+	if state.cancel != nil {
+		state.cancel()
+	}
+	if state.conn != nil {
+		_ = state.conn.Close()
+	}
+}
+
+// run makes one attempt. It returns the connection if it can be used again.
+func (s *sender) run(send scatter.Send, forward *platform.Forward, state *sending) (scatter.Replied, *conn) {
+	failed := func(outcome scatter.Outcome, err error) (scatter.Replied, *conn) {
+		return scatter.Replied{Attempt: send.Attempt, Outcome: outcome, Cause: err.Error()}, nil
+	}
+	c, err := s.connect(send, state)
+	if err != nil {
+		return failed(scatter.Unreached, err)
+	}
+	if !s.hold(state, c) {
+		_ = c.raw.Close()
+		return failed(scatter.Unreached, context.Canceled)
+	}
+	reply, sound, err := s.exchange(c, send, forward)
+	s.release(state)
+	if err != nil {
+		_ = c.raw.Close()
+		return failed(scatter.Lost, err)
+	}
+	replied := scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Leaving: reply.Close, Payload: reply}
+	if reply.Close || !sound {
+		_ = c.raw.Close()
+		return replied, nil
+	}
+	c.settle(reply.IdleFor)
+	return replied, c
+}
+
+// connect takes an idle connection or opens one.
+func (s *sender) connect(send scatter.Send, state *sending) (*conn, error) {
+	if c := s.pools.take(send, time.Now()); c != nil {
+		return c, nil
+	}
+	s.pools.makeRoom(send)
+	ctx, cancel := context.WithTimeout(context.Background(), min(dialTimeout, time.Until(send.Deadline)))
+	defer cancel()
+	s.mu.Lock()
+	state.cancel = cancel
+	s.mu.Unlock()
+	raw, err := s.dialer.DialContext(ctx, "tcp", send.Target.Address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, send.Target), nil
+}
+
+// hold lets cancel close the connection; false means that the attempt was
+// cancelled before.
+func (s *sender) hold(state *sending, c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.cancel, state.conn = nil, c.raw
+	return !state.cancelled
+}
+
+func (s *sender) release(state *sending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.conn = nil
+}
+
+// exchange writes the request and reads its answer. Sound says that the whole
+// request was written, so that the connection may carry another.
+func (s *sender) exchange(c *conn, send scatter.Send, forward *platform.Forward) (reply *platform.Reply, sound bool, err error) {
+	if err := c.raw.SetDeadline(send.Deadline); err != nil {
+		return nil, false, err
+	}
+	left := time.Until(send.Deadline)
+	if forward.BodySize() < largeBody {
+		if err := forward.Write(c.writer, send.Target, left); err != nil {
+			return nil, false, err
+		}
+		reply, err = forward.ReadReply(c.reader)
+		return reply, true, err
+	}
+	written := make(chan error, 1)
+	go func() { written <- forward.Write(c.writer, send.Target, left) }()
+	reply, err = forward.ReadReply(c.reader)
+	select {
+	case writeErr := <-written:
+		return reply, writeErr == nil, err
+	default:
+		// The answer came before the upstream had read the body. Closing the
+		// connection ends the write.
+		return reply, false, err
+	}
+}
+
+// close waits for the running sends, at most until ctx ends, and closes the
+// idle connections.
+func (s *sender) close(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	s.pools.close()
+}
+
+// sweep closes connections that rested too long, until ctx ends.
+func (s *sender) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.pools.sweep(now)
+		}
+	}
+}
--- /dev/null
+++ b/edge/settings.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.yaml.in/yaml/v3"
+)
+
+// Settings are a host's own settings; what concerns the host's place in the
+// platform comes from there.
+type Settings struct {
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `yaml:"log_level"`
+	// AnswerMargin is how long before a route's target a gather's answer
+	// leaves with the parts at hand, which covers the way from and to callers.
+	AnswerMargin time.Duration `yaml:"answer_margin"`
+	// AssumedHosts share the tier's budgets until the hosts are counted.
+	AssumedHosts int `yaml:"assumed_hosts"`
+	// MetricsPort serves /metrics on the host's address; 0 serves none.
+	MetricsPort int `yaml:"metrics_port"`
+	// GarbagePercent is how much the heap may grow between two collections, in
+	// percent of what is live.
+	GarbagePercent int `yaml:"garbage_percent"`
+}
+
+// DefaultSettings returns the settings of a host without a file.
+func DefaultSettings() Settings {
+	return Settings{
+		LogLevel:       "info",
+		AnswerMargin:   9 * time.Millisecond,
+		AssumedHosts:   32,
+		MetricsPort:    7390,
+		GarbagePercent: 400,
+	}
+}
+
+// ReadSettings reads a YAML file over the defaults. Unknown keys are errors.
+func ReadSettings(path string) (Settings, error) {
+	s := DefaultSettings()
+	if path == "" {
+		return s, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, eris.Wrap(err, "settings")
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return s, eris.Wrap(err, "settings "+path)
+	}
+	return s, s.Check()
+}
+
+// Check returns the first setting that has no proper value.
+func (s Settings) Check() error {
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		return eris.Wrap(err, "log_level")
+	}
+	switch {
+	case s.AnswerMargin < 0:
+		return eris.New("answer_margin: must not be negative")
+	case s.AssumedHosts < 1:
+		return eris.New("assumed_hosts: must be at least 1")
+	case s.MetricsPort < 0 || s.MetricsPort > 65535:
+		return eris.New("metrics_port: must be a port, or 0")
+	case s.GarbagePercent < 10:
+		return eris.New("garbage_percent: must be at least 10")
+	}
+	return nil
+}
+
+// YAML prints the settings as a file.
+func (s Settings) YAML() ([]byte, error) {
+	data, err := yaml.Marshal(s)
+	return data, eris.Wrap(err, "print settings")
+}
