Scatter: budget checked at the send, windows that shrink, abandoned connections reset

An upstream that rested was tried by every request when its twin was at its limit: 204 refused connections in ten seconds at one service. Ruled out: the count of hosts (8 on all hosts by then). Change: the budget is checked when a part is sent; a resting upstream is asked at most every 50 ms and only when no other is left; an upstream that sheds narrows this host's window; connections of abandoned requests are reset, so that nothing arrives later.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -64,12 +64,13 @@
 			e.noteUpstream(u, DecisionTrust)
 		}
 		u.trust()
+		u.grow(e.connections(c.config.Services[p.service]))
 	case Failed:
 		u.lostInARow = 0
 		u.observe(now, ratio, true)
 	case NotExecuted:
 		u.lostInARow = 0
-		u.observe(now, max(1, ratio), true)
+		u.shrink()
 	case WrongInstance:
 		u.restsUntil = now.Add(misdirectedBackoff)
 		e.suspect(u, r)
@@ -141,15 +142,19 @@
 	if p.ran() >= c.route.MaxUpstreams || p.sends >= maxAttempts || !now.Before(c.deadline) {
 		return false
 	}
-	if p.arrivals() == 0 {
+	return true
+}
+
+// affords says whether this host's share of the budget allows one more arrival
+// of a part.
+func (e *Engine) affords(now time.Time, p *part) bool {
+	if e.budget(p.service).allows(now, e.options.Extra, e.hosts) {
 		return true
 	}
-	if !e.budget(p.service).allows(now, e.options.Extra, e.hosts) {
-		e.stats.ExtraDenied++
-		e.note(Note{Decision: DecisionNoBudget, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Version: c.config.Version})
-		return false
-	}
-	return true
+	c := p.call
+	e.stats.ExtraDenied++
+	e.note(Note{Decision: DecisionNoBudget, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Version: c.config.Version})
+	return false
 }
 
 // ran counts the upstreams on which a part runs, has run or may have run.
@@ -204,7 +209,7 @@
 		return
 	}
 	for _, p := range late {
-		if !e.mayRepeat(now, p) {
+		if !e.mayRepeat(now, p) || !e.affords(now, p) {
 			continue
 		}
 		before := p.pending
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -147,6 +147,10 @@
 // one could take it soon, and is over if there is none.
 func (e *Engine) send(now time.Time, p *part) {
 	c := p.call
+	if p.arrivals() > 0 && !e.affords(now, p) {
+		p.over = p.pending == 0
+		return
+	}
 	service := c.config.Services[p.service]
 	usual := e.usualOf(c.route, p.service)
 	u, busy := e.directory.pick(now, limits{
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -25,6 +25,13 @@
 	// misdirectedBackoff is how long an address rests at which another
 	// upstream answered.
 	misdirectedBackoff = 5 * time.Second
+	// probeEvery is the least time between two requests to an upstream that
+	// rests, when no other is left.
+	probeEvery = 50 * time.Millisecond
+	// firstWindow is the window of an upstream that was not heard of before;
+	// windowDecrease is what a shed request leaves of it.
+	firstWindow    = 64
+	windowDecrease = 0.7
 	// lostBeforeBackoff lost answers in a row make an upstream rest.
 	lostBeforeBackoff = 3
 	// slownessGain is the weight of one observation in the estimates.
@@ -58,6 +65,9 @@
 	nextCold     time.Time // earliest next send while cold
 
 	running []*attempt // in order of their start
+	// window is how many requests this host has there at once; an upstream
+	// that sheds narrows it.
+	window float64
 
 	slowness   float64 // latency over the usual latency
 	failing    float64 // share of failed answers
@@ -65,6 +75,7 @@
 	lostInARow int
 	backoffs   int
 	restsUntil time.Time
+	probedAt   time.Time // last request sent while resting
 	// tie orders upstreams of equal cost differently on each host.
 	tie float64
 }
@@ -106,7 +117,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstream{Upstream: entry, slowness: 1, tie: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
+		u = &upstream{Upstream: entry, slowness: 1, window: firstWindow, tie: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
 		d.byID[entry.ID] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
@@ -262,26 +273,43 @@
 		if u.Draining || d.out[u.Domain] || slices.Contains(l.tried, u) {
 			continue
 		}
-		if len(u.running) >= l.connections || !d.coldAllows(now, u, l.service) {
-			busy = true
-			continue
-		}
 		if now.Before(u.restsUntil) {
-			if len(u.running) == 0 && (resting == nil || u.restsUntil.Before(resting.restsUntil)) {
+			if now.Sub(u.probedAt) >= probeEvery && (resting == nil || u.restsUntil.Before(resting.restsUntil)) {
 				resting = u
 			}
 			continue
 		}
+		if len(u.running) >= min(l.connections, int(u.window)) || !d.coldAllows(now, u, l.service) {
+			busy = true
+			continue
+		}
 		if cost := d.cost(now, u, l.usual); cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
-	if best == nil {
-		best = resting // nothing better is left
+	if best == nil && !busy && resting != nil {
+		// Nothing better is left: the request itself finds out whether the
+		// upstream is back.
+		resting.probedAt = now
+		return resting, false
 	}
 	return best, busy
 }
 
+// shrink narrows the window after the upstream shed a request.
+//
+// It answers a service with too few upstreams left: requests then wait here, in
+// order of priority, instead of being shed there and sent again.
+func (u *upstream) shrink() {
+	u.window = max(1, windowDecrease*min(u.window, float64(len(u.running)+1)))
+}
+
+// grow widens the window after an answer, by about one each time the whole
+// window was answered.
+func (u *upstream) grow(limit int) {
+	u.window = min(max(u.window+1/u.window, 1), max(1, float64(limit)))
+}
+
 // cost is the expected time of a new request in usual times.
 func (d *directory) cost(now time.Time, u *upstream, usual time.Duration) float64 {
 	slots := float64(max(1, u.Slots))
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -98,8 +98,7 @@
 	return c
 }
 
-// begin counts a send, and closes idle connections that would be too many
-// beside it.
+// begin counts a send.
 func (p *pools) begin(send scatter.Send) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -219,6 +218,17 @@
 	return err == nil && open
 }
 
+// abort closes the connection and drops what the upstream did not receive yet,
+// so that a request that was given up cannot arrive later.
+func (c *conn) abort() { abort(c.raw) }
+
+func abort(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the connection ends either way
+	}
+	_ = raw.Close()
+}
+
 // settle sets how long the connection may rest.
 func (c *conn) settle(upstreamIdle time.Duration) {
 	switch {
--- a/edge/hosts.go
+++ b/edge/hosts.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// interval is short until all hosts that start together can be seen.
+// interval is short until all hosts that start together can be seen; the first
+// read counts for nothing, since they may not have registered.
 func (r *roster) interval() time.Duration {
 	if r.self.Beat == 0 {
 		return firstBeatRetry
@@ -102,7 +103,7 @@
 		}
 	}
 	slices.Sort(hosts)
-	if !slices.Equal(hosts, r.current) {
+	if r.self.Beat > 1 && !slices.Equal(hosts, r.current) {
 		r.current = hosts
 		r.report(scatter.HostsSeen{Hosts: hosts})
 	}
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -56,7 +56,7 @@
 		cancelled := state.cancelled
 		s.mu.Unlock()
 		if cancelled && c != nil {
-			_ = c.raw.Close()
+			c.abort()
 			c = nil
 		}
 		s.pools.end(send, c, time.Now())
@@ -77,7 +77,7 @@
 		state.cancel()
 	}
 	if state.conn != nil {
-		_ = state.conn.Close()
+		abort(state.conn)
 	}
 }
 
@@ -97,12 +97,12 @@
 	reply, sound, err := s.exchange(c, send, forward)
 	s.release(state)
 	if err != nil {
-		_ = c.raw.Close()
+		c.abort()
 		return failed(scatter.Lost, err)
 	}
 	replied := scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Leaving: reply.Close, Payload: reply}
 	if reply.Close || !sound {
-		_ = c.raw.Close()
+		c.abort()
 		return replied, nil
 	}
 	c.settle(reply.IdleFor)
