--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	bin/beamload -scenario scenarios/short.yaml -json out/short.json -html out/short.html
 
 fmt:
-	.tools/gofumpt -w $$(git ls-files '*.go' ':!peerpb')
+	.tools/gofumpt -w $$(git ls-files '*.go' ':!peerpb' ':!edgepb')
 
 lint:
 	.tools/golangci-lint run ./...
--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -8,18 +8,23 @@
 
 // Actions collects what a step wants done, in order.
 type Actions struct {
-	Sends   []Send
-	Cancels []Cancel
-	Answers []Answer
-	Notes   []Note
+	Sends     []Send
+	Cancels   []Cancel
+	Handovers []Handover
+	// CallsGone are the calls whose handover is to end.
+	CallsGone []core.CallID
+	Answers   []Answer
+	Notes     []Note
 }
 
 // Reset empties the lists and keeps their memory.
 func (a *Actions) Reset() {
 	clear(a.Sends)
+	clear(a.Handovers)
 	clear(a.Answers)
 	clear(a.Notes)
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
+	a.Handovers, a.CallsGone = a.Handovers[:0], a.CallsGone[:0]
 }
 
 // Send asks one upstream to run a call's request.
@@ -39,6 +44,18 @@
 // Cancel ends a running attempt, whose caller is gone.
 type Cancel struct{ Attempt uint64 }
 
+// Handover asks another host to answer a call's request.
+type Handover struct {
+	Call core.CallID
+	To   Host
+	// Deadline is when the caller stops waiting, Spent the time that the
+	// request has used here.
+	Deadline time.Time
+	Spent    time.Duration
+	// AllowStale lets the host answer from what it cannot confirm.
+	AllowStale bool
+}
+
 // Answer is the final answer to a call.
 type Answer struct {
 	Call core.CallID
@@ -71,9 +88,11 @@
 	UpstreamsFailed
 	// TimedOut: the time for the request is over; it may have run.
 	TimedOut
+	// Declined: another host should answer; the request has not run here.
+	Declined
 )
 
-var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out"}
+var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out", "declined"}
 
 // String returns the kind as the log prints it.
 func (k AnswerKind) String() string { return answerNames[k] }
@@ -117,5 +136,6 @@
 	DecisionDomains  Decision = "domains_out"
 	DecisionHosts    Decision = "hosts_counted"
 	DecisionStore    Decision = "registry_reachable"
+	DecisionPeer     Decision = "host_rests"
 	DecisionPoison   Decision = "request_quarantined"
 )
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -148,7 +148,7 @@
 // affords says whether this host's share of the budget allows one more arrival
 // of a part.
 func (e *Engine) affords(now time.Time, p *part) bool {
-	if e.budget(p.service).allows(now, e.options.Extra, e.hosts) {
+	if e.budget(p.service).allows(now, e.options.Extra, e.fleet.allowanceShare()) {
 		return true
 	}
 	c := p.call
--- a/core/scatter/budget.go
+++ b/core/scatter/budget.go
@@ -4,7 +4,7 @@
 
 // extraBudget bounds the repeated sends to one service over a sliding window.
 // Every host holds a share: the ratio of the requests that it took itself, and
-// an equal part of the fixed allowance. The shares of all hosts add up to no
+// a part of the fixed allowance. The shares of all hosts add up to no
 // more than the tier's budget, with no message between them.
 //
 // It answers a wave of stragglers or failures, in which hosts that each repeat
@@ -66,11 +66,11 @@
 // allows says whether one more repeated send stays within this host's share.
 // Extra sends are counted over one bucket more than the window, requests over
 // one less, so that no placement of the window exceeds the limit.
-func (b *extraBudget) allows(now time.Time, limits ExtraLimits, hosts int) bool {
+func (b *extraBudget) allows(now time.Time, limits ExtraLimits, allowanceShare float64) bool {
 	buckets := max(2, int(limits.Window/bucketWidth))
 	spent := b.extras.sum(now, 0, buckets+1)
 	requests := b.requests.sum(now, 0, buckets-1)
-	share := limits.Ratio*float64(requests) + limits.Allowance/float64(max(1, hosts))
+	share := limits.Ratio*float64(requests) + limits.Allowance*allowanceShare
 	return float64(spent+1) <= budgetMargin*share
 }
 
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -21,8 +21,16 @@
 // arrive routes a request and sends its parts, or refuses it at once.
 func (e *Engine) arrive(now time.Time, a Arrived) {
 	e.stats.Requests++
-	if e.config == nil {
-		e.refuseUnrouted(a, "no configuration is known yet")
+	if a.FromHost && !a.AllowStale && (!e.Ready() || e.directory.stale(now)) {
+		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
+		return
+	}
+	if e.handsOver(a) {
+		e.handOver(now, a)
+		return
+	}
+	if !e.Ready() {
+		e.refuseUnrouted(a, "the configuration or the upstreams are not known yet")
 		return
 	}
 	route := e.config.Match(a.Host, a.Path)
@@ -378,6 +386,11 @@
 // callerGone ends a call without an answer. Attempts that may run again are
 // ended too; one that may not is left to finish.
 func (e *Engine) callerGone(now time.Time, id core.CallID) {
+	if h := e.handovers[id]; h != nil {
+		e.stats.CallersGone++
+		e.dropHandover(h)
+		return
+	}
 	c := e.calls[id]
 	if c == nil {
 		return
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -93,7 +93,7 @@
 	vanished     int
 	vanishedAt   time.Time
 	reachable    bool
-	reachableAt  time.Time
+	reachableAt  time.Time // when it was last reachable
 	everListed   bool
 	graceEnds    time.Time
 	pendingGrace []*upstream
@@ -232,9 +232,18 @@
 	if reachable && !d.reachable {
 		d.graceEnds = now.Add(entryGrace)
 	}
+	if !reachable && d.reachable {
+		d.reachableAt = now
+	}
 	d.reachable = reachable
 }
 
+// stale says that the registry has been away for so long that others may know
+// better.
+func (d *directory) stale(now time.Time) bool {
+	return !d.reachable && now.Sub(d.reachableAt) > staleAfter
+}
+
 // expire removes the upstreams whose entries did not come back in time.
 func (d *directory) expire(now time.Time, note func(*upstream, Decision)) {
 	if len(d.pendingGrace) == 0 || !d.reachable || now.Before(d.graceEnds) {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -28,18 +28,21 @@
 	options   Options
 	config    *Config
 	directory *directory
-	hosts     int
-	calls     map[core.CallID]*call
-	attempts  map[uint64]*attempt
-	sequence  uint64
-	timers    schedule.Timers[firing]
-	budgets   map[core.ServiceID]*extraBudget
-	usual     map[usualKey]*usualTime
-	waiting   map[core.ServiceID][]*part
-	questions questions
-	splits    map[*Route]*splitter
-	out       *Actions
-	stats     Stats
+	fleet     *fleet
+	handovers map[core.CallID]*handover
+	// aloneUntil is how long this host answers by itself at need.
+	aloneUntil time.Time
+	calls      map[core.CallID]*call
+	attempts   map[uint64]*attempt
+	sequence   uint64
+	timers     schedule.Timers[firing]
+	budgets    map[core.ServiceID]*extraBudget
+	usual      map[usualKey]*usualTime
+	waiting    map[core.ServiceID][]*part
+	questions  questions
+	splits     map[*Route]*splitter
+	out        *Actions
+	stats      Stats
 }
 
 // Stats counts decisions since the start.
@@ -98,7 +101,8 @@
 	return &Engine{
 		options:   options,
 		directory: newDirectory(options.Self, options.Domain),
-		hosts:     max(1, options.Hosts),
+		fleet:     newFleet(options.Self, options.Domain),
+		handovers: map[core.CallID]*handover{},
 		calls:     map[core.CallID]*call{},
 		attempts:  map[uint64]*attempt{},
 		budgets:   map[core.ServiceID]*extraBudget{},
@@ -109,10 +113,15 @@
 	}
 }
 
-// Ready says that requests can be answered: a configuration and the upstreams
-// are known.
+// Ready says that this host can send to upstreams: a configuration and the
+// upstreams are known.
 func (e *Engine) Ready() bool { return e.config != nil && e.directory.everListed }
 
+// Serves says that callers' requests can be answered here or handed over.
+func (e *Engine) Serves() bool {
+	return e.Ready() || e.fleet.role != Gatherer && len(e.fleet.peers) > 0
+}
+
 // Limits returns what the configuration in force allows callers; false while
 // none is known.
 func (e *Engine) Limits() (CallerLimits, bool) {
@@ -131,7 +140,7 @@
 }
 
 // Running returns the number of calls that have no answer yet.
-func (e *Engine) Running() int { return len(e.calls) }
+func (e *Engine) Running() int { return len(e.calls) + len(e.handovers) }
 
 // Stats returns the counters.
 func (e *Engine) Stats() Stats { return e.stats }
@@ -179,6 +188,8 @@
 		e.setDomains(event.Domains)
 	case HostsSeen:
 		e.setHosts(event.Hosts)
+	case HandoverEnded:
+		e.handedOver(now, event)
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.graceTimer(now)
@@ -223,12 +234,23 @@
 	e.note(Note{Decision: DecisionDomains, Version: e.Version(), Detail: joined(names)})
 }
 
-func (e *Engine) setHosts(hosts []core.HostID) {
-	e.directory.hosts = hosts
-	e.hosts = max(1, len(hosts))
-	e.note(Note{Decision: DecisionHosts, Parts: len(hosts)})
+func (e *Engine) setHosts(hosts []Host) {
+	if !e.fleet.set(hosts) {
+		return
+	}
+	e.directory.hosts = e.directory.hosts[:0]
+	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
+		e.directory.hosts = append(e.directory.hosts, h.ID)
+	}
+	e.note(Note{Decision: DecisionHosts, Parts: len(hosts), Detail: e.fleet.role.String()})
 }
 
+// Role returns what this host does for requests.
+func (e *Engine) Role() Role { return e.fleet.role }
+
+// Ranked returns all hosts of the tier in the order in which they gather.
+func (e *Engine) Ranked() []Host { return e.fleet.ranked }
+
 func (e *Engine) note(n Note) { e.out.Notes = append(e.out.Notes, n) }
 
 func (e *Engine) noteUpstream(u *upstream, decision Decision) {
@@ -247,5 +269,9 @@
 // connections is how many connections this host may hold to an upstream of a
 // service: an equal part of what the upstream takes, and at least one.
 func (e *Engine) connections(s Service) int {
-	return max(1, s.Connections/e.hosts)
+	hosts := e.fleet.gatherers()
+	if hosts == 0 {
+		hosts = max(1, e.options.Hosts)
+	}
+	return max(1, s.Connections/hosts)
 }
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -22,6 +22,10 @@
 	At time.Time
 	// Question identifies what is asked, whoever asks it.
 	Question core.Fingerprint
+	// FromHost says that another host took the request and hands it over.
+	FromHost bool
+	// AllowStale lets this host answer from what it cannot confirm.
+	AllowStale bool
 }
 
 // CallerGone says that the caller closed its connection.
@@ -54,8 +58,19 @@
 // DomainsOut is the set of failure domains that operators took out.
 type DomainsOut struct{ Domains map[core.DomainID]bool }
 
-// HostsSeen is the sorted list of the hosts that share the tier's budgets.
-type HostsSeen struct{ Hosts []core.HostID }
+// HostsSeen is the list of all hosts of the tier.
+type HostsSeen struct{ Hosts []Host }
+
+// HandoverEnded is the end of a handover.
+type HandoverEnded struct {
+	Call core.CallID
+	To   core.HostID
+	// Outcome is Succeeded with an answer to pass on as Payload, NotExecuted
+	// when the host declined, Unreached or Lost.
+	Outcome Outcome
+	Payload any
+	Cause   string
+}
 
 // StoreReachable says whether the registry of upstreams answers this host.
 type StoreReachable struct{ Reachable bool }
@@ -72,6 +87,7 @@
 func (UpstreamRemoved) isEvent() {}
 func (DomainsOut) isEvent()      {}
 func (HostsSeen) isEvent()       {}
+func (HandoverEnded) isEvent()   {}
 func (StoreReachable) isEvent()  {}
 func (Tick) isEvent()            {}
 
--- /dev/null
+++ b/core/scatter/handover.go
@@ -0,0 +1,209 @@
+package scatter
+
+import (
+	"math"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// suspectFirst is how long a host rests that did not take a request; it
+	// doubles up to suspectMost.
+	suspectFirst = 200 * time.Millisecond
+	suspectMost  = 2 * time.Second
+	// handoverTries is the most hosts that are asked to take one request.
+	handoverTries = 4
+	// silentAfter without an answer, while nothing else came from the host
+	// either, makes it rest.
+	silentAfter = 700 * time.Millisecond
+	// remoteHandover is what another failure domain costs, in requests that
+	// wait at the host.
+	remoteHandover = 2.0
+	// staleAfter without news is when a host declines requests of others, which
+	// may find one that knows better.
+	staleAfter = 1500 * time.Millisecond
+	// unknownBudget ends a handover whose caller did not say how long it waits.
+	unknownBudget = 10 * time.Second
+)
+
+// peer is what this host believes of a host that may gather for it.
+type peer struct {
+	Host
+	running  int
+	suspects int
+	restsTo  time.Time
+	heardAt  time.Time
+}
+
+// handover is a request that another host answers.
+type handover struct {
+	arrived  Arrived
+	to       *peer
+	sentAt   time.Time
+	tried    map[core.HostID]bool
+	deadline time.Time
+	stale    bool
+}
+
+// handsOver says whether this host lets others answer its callers' requests.
+func (e *Engine) handsOver(a Arrived) bool {
+	if a.FromHost || len(e.fleet.peers) == 0 {
+		return false
+	}
+	return e.fleet.role != Gatherer || !e.Ready()
+}
+
+// handOver gives a request to the host that is expected to answer it soonest.
+func (e *Engine) handOver(now time.Time, a Arrived) {
+	budget := a.Budget
+	if budget <= 0 {
+		budget = unknownBudget
+	}
+	h := &handover{arrived: a, tried: map[core.HostID]bool{}, deadline: a.At.Add(budget)}
+	e.handovers[a.Call] = h
+	e.timers.Add(h.deadline, func(now time.Time) {
+		if e.handovers[a.Call] == h {
+			e.suspectSilent(now, h)
+			e.endHandover(now, h, Answer{Kind: TimedOut})
+		}
+	})
+	e.tryHandover(now, h)
+}
+
+func (e *Engine) tryHandover(now time.Time, h *handover) {
+	p := e.pickPeer(now, h)
+	if p == nil && !h.stale {
+		// Nobody has confirmed news: what they know has to do.
+		h.stale, h.tried = true, map[core.HostID]bool{}
+		p = e.pickPeer(now, h)
+	}
+	if p == nil {
+		e.answerAlone(now, h)
+		return
+	}
+	h.to, h.sentAt = p, now
+	h.tried[p.ID] = true
+	p.running++
+	e.out.Handovers = append(e.out.Handovers, Handover{
+		Call: h.arrived.Call, To: p.Host, Deadline: h.deadline, Spent: now.Sub(h.arrived.At), AllowStale: h.stale,
+	})
+}
+
+// answerAlone answers a request that no other host takes. A host that does not
+// know enough for that refuses, and learns it for the requests to come.
+func (e *Engine) answerAlone(now time.Time, h *handover) {
+	delete(e.handovers, h.arrived.Call)
+	e.aloneUntil = now.Add(aloneFor)
+	a := h.arrived
+	a.FromHost = true
+	e.arrive(now, a)
+}
+
+// aloneFor is how long a host stays ready to send to upstreams after no other
+// host took a request.
+const aloneFor = 30 * time.Second
+
+// Active says whether this host has to know the configuration and the
+// upstreams.
+func (e *Engine) Active(now time.Time) bool {
+	return e.fleet.role != Entry || now.Before(e.aloneUntil) || len(e.fleet.peers) == 0
+}
+
+// pickPeer prefers this host's failure domain and the host with the fewest of
+// this host's requests.
+func (e *Engine) pickPeer(now time.Time, h *handover) *peer {
+	if len(h.tried) >= handoverTries {
+		return nil
+	}
+	var best *peer
+	bestCost := math.Inf(1)
+	for at, host := range e.fleet.ranked[:min(len(e.fleet.ranked), maxGatherers+standbys)] {
+		p := e.fleet.peers[host.ID]
+		if p == nil || h.tried[p.ID] || now.Before(p.restsTo) {
+			continue
+		}
+		cost := float64(p.running)/max(p.Power, 0.01) + e.options.Random()
+		if p.Domain != e.fleet.domain {
+			cost += remoteHandover
+		}
+		if at >= maxGatherers {
+			cost += standbyHandover
+		}
+		if cost < bestCost {
+			best, bestCost = p, cost
+		}
+	}
+	return best
+}
+
+// standbyHandover is what a standby costs, in requests that wait: it is asked
+// only when the gatherers rest.
+const standbyHandover = 1000
+
+// handedOver takes the end of a handover.
+func (e *Engine) handedOver(now time.Time, r HandoverEnded) {
+	h := e.handovers[r.Call]
+	if h == nil || h.to == nil || h.to.ID != r.To {
+		return
+	}
+	p := h.to
+	p.running--
+	h.to = nil
+	switch r.Outcome {
+	case Succeeded, Failed:
+		p.suspects, p.heardAt = 0, now
+		e.endHandover(now, h, Answer{Kind: PassedOn, Payload: r.Payload})
+	case NotExecuted:
+		e.rest(now, p, r)
+		e.tryHandover(now, h)
+	case Lost:
+		e.rest(now, p, r)
+		e.endHandover(now, h, Answer{Kind: UpstreamsFailed})
+	default:
+		e.rest(now, p, r)
+		e.tryHandover(now, h)
+	}
+}
+
+// rest keeps requests away from a host for a while.
+func (e *Engine) rest(now time.Time, p *peer, r HandoverEnded) {
+	wait := min(suspectMost, suspectFirst<<min(p.suspects, 8))
+	p.suspects++
+	p.restsTo = now.Add(wait)
+	e.note(Note{Decision: DecisionPeer, Upstream: core.UpstreamID(p.ID), Age: wait, Detail: r.Outcome.String() + ": " + r.Cause})
+}
+
+// suspectSilent makes a host rest that let a request run into its deadline.
+func (e *Engine) suspectSilent(now time.Time, h *handover) {
+	p := h.to
+	if p == nil {
+		return
+	}
+	if now.Sub(h.sentAt) >= silentAfter && p.heardAt.Before(h.sentAt) {
+		e.rest(now, p, HandoverEnded{Outcome: Lost, Cause: "silent"})
+	}
+}
+
+func (e *Engine) endHandover(now time.Time, h *handover, answer Answer) {
+	answer.Call = h.arrived.Call
+	delete(e.handovers, answer.Call)
+	if h.to != nil {
+		h.to.running--
+		e.out.CallsGone = append(e.out.CallsGone, answer.Call)
+	}
+	e.out.Answers = append(e.out.Answers, answer)
+	e.note(Note{
+		Decision: DecisionAnswer, RequestID: h.arrived.RequestID, Age: now.Sub(h.arrived.At),
+		Detail: "handed over: " + answer.Kind.String(),
+	})
+}
+
+// dropHandover ends a handover whose caller left.
+func (e *Engine) dropHandover(h *handover) {
+	delete(e.handovers, h.arrived.Call)
+	if h.to != nil {
+		h.to.running--
+		e.out.CallsGone = append(e.out.CallsGone, h.arrived.Call)
+	}
+}
--- /dev/null
+++ b/core/scatter/hosts.go
@@ -0,0 +1,151 @@
+package scatter
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// maxGatherers is the most hosts that send to upstreams in ordinary times.
+	// It keeps their connections to one upstream within what it takes, however
+	// many hosts the tier has.
+	maxGatherers = 12
+	// standbys keep themselves ready to take the place of gatherers.
+	standbys = 4
+	// strongShare of the strongest host's processor makes a host strong; weak
+	// hosts gather only when no strong one is left.
+	strongShare = 0.5
+)
+
+// Host is one host of the tier.
+type Host struct {
+	ID     core.HostID
+	Domain core.DomainID
+	// Address is where other hosts reach it.
+	Address string
+	// Power is its processor, in cores.
+	Power float64
+}
+
+// Role is what a host does for requests.
+type Role int
+
+// The roles of a host, by its rank among all.
+const (
+	// Gatherer hosts send to upstreams, for their own callers and for others.
+	Gatherer Role = iota
+	// Standby hosts know what gatherers know and hand requests over.
+	Standby
+	// Entry hosts hand requests over.
+	Entry
+)
+
+var roleNames = [...]string{"gatherer", "standby", "entry"}
+
+// String returns the role as the log prints it.
+func (r Role) String() string { return roleNames[r] }
+
+// RankHosts returns the hosts in the order in which they gather: strong ones
+// first, the failure domains by turns, so that neighbours in rank do not fail
+// together. All hosts that know the same hosts return the same order.
+func RankHosts(hosts []Host) []Host {
+	strongest := 0.0
+	for _, h := range hosts {
+		strongest = max(strongest, h.Power)
+	}
+	var strong, weak []Host
+	for _, h := range hosts {
+		if h.Power >= strongShare*strongest {
+			strong = append(strong, h)
+		} else {
+			weak = append(weak, h)
+		}
+	}
+	return append(interleave(strong), interleave(weak)...)
+}
+
+// interleave takes one host of each failure domain in turn.
+func interleave(hosts []Host) []Host {
+	order := func(id string) uint64 { return xxhash.Sum64String(id) }
+	slices.SortFunc(hosts, func(a, b Host) int {
+		return cmp.Or(
+			cmp.Compare(order(string(a.Domain)), order(string(b.Domain))),
+			cmp.Compare(order(string(a.ID)), order(string(b.ID))),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	turn := map[core.DomainID]int{}
+	turns := make(map[core.HostID]int, len(hosts))
+	for _, h := range hosts {
+		turns[h.ID] = turn[h.Domain]
+		turn[h.Domain]++
+	}
+	slices.SortStableFunc(hosts, func(a, b Host) int { return turns[a.ID] - turns[b.ID] })
+	return hosts
+}
+
+// fleet is the tier as this host knows it.
+type fleet struct {
+	self   core.HostID
+	domain core.DomainID
+	ranked []Host
+	role   Role
+	peers  map[core.HostID]*peer
+}
+
+func newFleet(self core.HostID, domain core.DomainID) *fleet {
+	return &fleet{self: self, domain: domain, role: Gatherer, peers: map[core.HostID]*peer{}}
+}
+
+// set takes the hosts of the tier, and returns whether anything changed.
+func (f *fleet) set(hosts []Host) bool {
+	ranked := RankHosts(hosts)
+	if slices.Equal(ranked, f.ranked) {
+		return false
+	}
+	f.ranked = ranked
+	f.role = f.roleOf(f.self)
+	peers := map[core.HostID]*peer{}
+	for _, h := range ranked[:min(len(ranked), maxGatherers+standbys)] {
+		if h.ID == f.self {
+			continue
+		}
+		p := f.peers[h.ID]
+		if p == nil || p.Address != h.Address {
+			p = &peer{}
+		}
+		p.Host = h
+		peers[h.ID] = p
+	}
+	f.peers = peers
+	return true
+}
+
+// roleOf returns a host's role; a host that is not known gathers for itself.
+func (f *fleet) roleOf(id core.HostID) Role {
+	at := slices.IndexFunc(f.ranked, func(h Host) bool { return h.ID == id })
+	switch {
+	case at < maxGatherers:
+		return Gatherer
+	case at < maxGatherers+standbys:
+		return Standby
+	default:
+		return Entry
+	}
+}
+
+// gatherers returns how many hosts send to upstreams in ordinary times.
+func (f *fleet) gatherers() int { return min(len(f.ranked), maxGatherers) }
+
+// allowanceShare is this host's part of what the tier may spend beyond a ratio
+// of its requests. Hosts that are not meant to gather have none.
+func (f *fleet) allowanceShare() float64 {
+	if f.role == Entry || len(f.ranked) == 0 {
+		return 0
+	}
+	return 1 / float64(min(len(f.ranked), maxGatherers+standbys))
+}
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,344 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/edgepb"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+const (
+	// readers is how many hosts read the store for the others.
+	readers = 3
+	// followed is how many readers a host follows that has to know everything
+	// in time, even while one of them is cut off.
+	followed = 2
+	// superviseEvery is the time between two looks at what to read from whom.
+	superviseEvery = 200 * time.Millisecond
+	// aloneAfter without a reader, a host reads the store itself, until it has
+	// followed one for settledAfter.
+	aloneAfter   = 500 * time.Millisecond
+	settledAfter = 5 * time.Second
+	// startDelay lets hosts that start together register before the first list
+	// of hosts is read.
+	startDelay = 400 * time.Millisecond
+	// registerRetry is the pause after a registration that failed.
+	registerRetry = time.Second
+	// followRetry is the pause after all readers were tried.
+	followRetry = 150 * time.Millisecond
+)
+
+// plan says what a host has to know, and from whom.
+type plan struct {
+	self   scatter.Host
+	ranked []scatter.Host
+	// active hosts have to know everything; others know the hosts only.
+	active bool
+}
+
+// reads says that this host reads the store for others.
+func (p *plan) reads() bool {
+	for _, h := range p.ranked[:min(len(p.ranked), readers)] {
+		if h.ID == p.self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// registry is the duty that keeps a host informed. A few hosts read the store
+// and stream what they read to the others; a host that reaches none of them
+// reads the store itself.
+type registry struct {
+	objects *platform.Objects
+	peers   *peers
+	log     zerolog.Logger
+	self    scatter.Host
+	seeds   []string
+	hubs    map[string]*hub
+	hosts   *hub
+	current atomic.Pointer[plan]
+
+	following  atomic.Int32 // streams that are up
+	lastFollow atomic.Int64 // when one was up last, in nanoseconds of the steady clock
+	started    time.Time
+}
+
+func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, self scatter.Host, seeds []string, deliver func(platform.News)) *registry {
+	r := &registry{objects: objects, peers: p, log: log, self: self, seeds: seeds, hubs: map[string]*hub{}, started: time.Now()}
+	logged := func(news platform.News) {
+		for _, problem := range news.Problems {
+			log.Warn().Str("event", "entry_ignored").AnErr("cause", problem).Msg("an entry names nothing to use")
+		}
+		deliver(news)
+	}
+	for _, feed := range []*platform.Feed{
+		platform.ConfigFeed(objects), platform.UpstreamFeed(objects), platform.DomainFeed(objects), platform.HostFeed(objects),
+	} {
+		r.hubs[feed.Name] = newHub(feed, logged)
+	}
+	r.hosts = r.hubs[platform.HostFeedName]
+	r.current.Store(&plan{self: self, active: true})
+	return r
+}
+
+func (r *registry) feeds(active bool) []string {
+	if !active {
+		return []string{platform.HostFeedName}
+	}
+	names := make([]string, 0, len(r.hubs))
+	for name := range r.hubs {
+		names = append(names, name)
+	}
+	return names
+}
+
+// run keeps the host informed until ctx ends.
+func (r *registry) run(ctx context.Context) {
+	go r.register(ctx)
+	r.learnHosts(ctx)
+	r.lastFollow.Store(int64(time.Since(r.started))) // gives the first streams time
+	work := &registryWork{registry: r}
+	defer work.stopAll()
+	ticker := time.NewTicker(superviseEvery)
+	defer ticker.Stop()
+	for {
+		work.adjust(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// register stores this host's record.
+func (r *registry) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, listTimeout)
+		err := platform.RegisterHost(attempt, r.objects, r.self)
+		cancel()
+		if err == nil {
+			return
+		}
+		r.log.Warn().Str("event", "register_failed").AnErr("cause", err).Msg("other hosts do not know this one yet")
+		pause(ctx, registerRetry)
+	}
+}
+
+// learnHosts reads the hosts once, from the store or from a seed.
+func (r *registry) learnHosts(ctx context.Context) {
+	pause(ctx, startDelay)
+	attempt, cancel := context.WithTimeout(ctx, listTimeout)
+	update, err := r.hosts.feed.List(attempt)
+	cancel()
+	if err == nil {
+		r.hosts.apply(update)
+		return
+	}
+	r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").AnErr("cause", err).Msg("asking the seeds for hosts")
+	for _, seed := range r.seeds {
+		if seed == r.self.Address {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, listTimeout)
+		err := r.follow(attempt, seed, r.feeds(false), func() { cancel() })
+		cancel()
+		if r.hosts.isKnown() {
+			return
+		}
+		r.log.Warn().Str("event", "seed_failed").Str("seed", seed).AnErr("cause", err).Send()
+	}
+}
+
+// follow takes a host's stream until it ends; up is called after the first
+// update.
+func (r *registry) follow(ctx context.Context, address string, feeds []string, up func()) error {
+	client, err := r.peers.client(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(followSilence, func() { cancel(eris.New("the stream is silent")) })
+	defer silence.Stop()
+	stream, err := client.Follow(ctx, &edgepb.FollowRequest{Feeds: feeds})
+	if err != nil {
+		return eris.Wrap(err, "follow")
+	}
+	pending := len(feeds)
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return eris.Wrapf(err, "follow (%v)", context.Cause(ctx))
+		}
+		silence.Reset(followSilence)
+		if message.Feed == "" {
+			continue
+		}
+		if err := r.take(message); err != nil {
+			return err
+		}
+		if pending--; pending == 0 {
+			up()
+		}
+	}
+}
+
+func (r *registry) take(message *edgepb.FeedUpdate) error {
+	hub := r.hubs[message.Feed]
+	if hub == nil {
+		return nil // a feed that this version does not know
+	}
+	changes, err := platform.DecodeChanges(message.Changes)
+	if err != nil {
+		return err
+	}
+	if !hub.apply(platform.Update{Reset: message.Reset_, Base: message.Base, Revision: message.Revision, Changes: changes}) {
+		return eris.New("changes are missing")
+	}
+	return nil
+}
+
+// setUp counts the streams that are up.
+func (r *registry) setUp(up bool, feeds []string) {
+	if up {
+		r.following.Add(1)
+	} else {
+		r.following.Add(-1)
+		r.lastFollow.Store(int64(time.Since(r.started)))
+	}
+	for _, name := range feeds {
+		r.hubs[name].countSource(up)
+	}
+}
+
+// registryWork is what a registry does at present.
+type registryWork struct {
+	registry *registry
+
+	store      context.CancelFunc // reading the store, or nil
+	followers  context.CancelFunc // following others, or nil
+	shape      followShape
+	settled    time.Time // since when a reader is followed
+	lastListed time.Time
+	duties     sync.WaitGroup
+}
+
+// followShape is what decides which streams to keep.
+type followShape struct {
+	active bool
+	first  [readers]scatter.Host
+}
+
+// adjust starts and ends duties as the plan and the other hosts require.
+func (w *registryWork) adjust(ctx context.Context) {
+	r := w.registry
+	p := r.current.Load()
+	following := r.following.Load() > 0
+	switch {
+	case !following:
+		w.settled = time.Time{}
+	case w.settled.IsZero():
+		w.settled = time.Now()
+	}
+	w.adjustFollowers(ctx, p)
+	sinceFollowed := time.Since(r.started) - time.Duration(r.lastFollow.Load())
+	alone := !following && sinceFollowed > aloneAfter
+	settled := following && time.Since(w.settled) > settledAfter
+	switch {
+	case w.store == nil && p.active && (p.reads() || alone):
+		w.readStore(ctx)
+	case w.store != nil && !p.reads() && (settled || !p.active):
+		w.store()
+		w.store = nil
+	case !p.active && alone && time.Since(w.lastListed) > listHostsEvery:
+		w.lastListed = time.Now()
+		w.duties.Go(func() { r.learnHosts(ctx) })
+	}
+}
+
+// listHostsEvery is how often a host that knows the hosts only, and follows
+// nobody, reads their list.
+const listHostsEvery = 15 * time.Second
+
+func (w *registryWork) adjustFollowers(ctx context.Context, p *plan) {
+	shape := followShape{active: p.active}
+	copy(shape.first[:], p.ranked)
+	if shape == w.shape {
+		return
+	}
+	w.shape = shape
+	if w.followers != nil {
+		w.followers()
+		w.followers = nil
+	}
+	var others []scatter.Host
+	for _, h := range p.ranked[:min(len(p.ranked), readers)] {
+		if h.ID != p.self.ID {
+			others = append(others, h)
+		}
+	}
+	if p.reads() || len(others) == 0 {
+		return
+	}
+	streams := min(followed, len(others))
+	if !p.active {
+		streams = 1
+	}
+	followCtx, cancel := context.WithCancel(ctx)
+	w.followers = cancel
+	for slot := range streams {
+		w.duties.Go(func() { w.registry.followAny(followCtx, others, slot, streams, w.registry.feeds(p.active)) })
+	}
+}
+
+// followAny keeps one stream open to one of the readers, each slot beginning
+// with another.
+func (r *registry) followAny(ctx context.Context, others []scatter.Host, slot, slots int, feeds []string) {
+	for at := slot; ctx.Err() == nil; at += slots {
+		reader := others[at%len(others)]
+		up := false
+		err := r.follow(ctx, reader.Address, feeds, func() {
+			up = true
+			r.setUp(true, feeds)
+			r.log.Info().Str("event", "dependency_regained").Str("dependency", "reader").Str("reader", string(reader.ID)).Msg("following")
+		})
+		if up {
+			r.setUp(false, feeds)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "reader").Str("reader", string(reader.ID)).AnErr("cause", err).Msg("trying another")
+		if !up {
+			pause(ctx, followRetry)
+		}
+	}
+}
+
+func (w *registryWork) readStore(ctx context.Context) {
+	storeCtx, cancel := context.WithCancel(ctx)
+	w.store = cancel
+	for _, hub := range w.registry.hubs {
+		reader := &storeReader{hub: hub, log: w.registry.log}
+		w.duties.Go(func() { reader.run(storeCtx) })
+	}
+}
+
+func (w *registryWork) stopAll() {
+	if w.store != nil {
+		w.store()
+	}
+	if w.followers != nil {
+		w.followers()
+	}
+	w.duties.Wait()
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -26,7 +26,10 @@
 // pending is a caller's request that has no answer yet.
 type pending struct {
 	request platform.CallerRequest
+	ctx     context.Context     // ends when the caller leaves
 	answer  chan scatter.Answer // holds the answer
+	// endHandover ends the call at the host that it was handed to.
+	endHandover context.CancelFunc
 }
 
 // front takes requests from callers.
@@ -75,32 +78,30 @@
 		return
 	}
 	started := time.Now()
-	answer, left := f.ask(r.Context(), request, started)
+	answer, left := f.ask(r.Context(), request, scatter.Arrived{At: started})
 	if left {
 		return
 	}
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := platform.WriteAnswer(w, request, answer); err != nil {
+	if err := platform.WriteReply(w, platform.Render(request, answer)); err != nil {
 		f.metrics.answersCut.Inc(1)
 	}
 	f.metrics.latency.UpdateSince(started)
 }
 
 // ask puts a request to the core and waits for its answer; left means that the
-// caller closed its connection first.
-func (f *front) ask(ctx context.Context, request platform.CallerRequest, at time.Time) (answer scatter.Answer, left bool) {
+// caller closed its connection first. The event says how the request came.
+func (f *front) ask(ctx context.Context, request platform.CallerRequest, arrived scatter.Arrived) (answer scatter.Answer, left bool) {
 	call := core.CallID(f.sequence.Add(1))
-	p := &pending{request: request, answer: make(chan scatter.Answer, 1)}
+	p := &pending{request: request, ctx: ctx, answer: make(chan scatter.Answer, 1)}
 	f.mu.Lock()
 	f.calls[call] = p
 	f.mu.Unlock()
 	defer f.forget(call)
-	arrived := scatter.Arrived{
-		Call: call, RequestID: request.ID, Host: request.Host, Path: request.Path,
-		Budget: request.Budget, At: at, Question: request.Question,
-	}
+	arrived.Call, arrived.RequestID, arrived.Host, arrived.Path = call, request.ID, request.Host, request.Path
+	arrived.Budget, arrived.Question = request.Budget, request.Question
 	if !f.inbox(arrived) {
 		f.metrics.inboxFull.Inc(1)
 		return scatter.Answer{Kind: scatter.Refused, RetryAfter: fullRetry}, false
@@ -123,22 +124,16 @@
 	delete(f.calls, call)
 }
 
-// forward returns what upstreams get for a call; nil when its caller is gone.
-func (f *front) forward(call core.CallID) *platform.Forward {
+// find returns a call; nil when its caller is gone.
+func (f *front) find(call core.CallID) *pending {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p := f.calls[call]; p != nil {
-		return p.request.Forward
-	}
-	return nil
+	return f.calls[call]
 }
 
 // answer hands an answer to the waiting request.
 func (f *front) answer(answer scatter.Answer) {
-	f.mu.Lock()
-	p := f.calls[answer.Call]
-	f.mu.Unlock()
-	if p != nil {
+	if p := f.find(answer.Call); p != nil {
 		p.answer <- answer
 	}
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
 
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/platform"
@@ -22,8 +24,8 @@
 )
 
 const (
-	// storeConnections is the most connections to the store: one a watch and
-	// one for heartbeats.
+	// storeConnections is the most connections to the store: one a feed and
+	// one for registering.
 	storeConnections = 5
 	// lingerShare of the time until the kill, callers' open connections are
 	// served on; the rest is for requests that still run.
@@ -44,12 +46,16 @@
 	front    *front
 	sender   *sender
 	objects  *platform.Objects
+	peers    *peers
+	registry *registry
+	server   *grpc.Server // for other hosts
 	notes    *noteWriter
 	ready    atomic.Bool
 	stopping atomic.Bool
+	stopped  chan struct{} // closed when other hosts have to turn elsewhere
 	duties   sync.WaitGroup
 
-	callers, readiness, admin net.Listener
+	callers, readiness, control, admin net.Listener
 }
 
 // New opens the host's addresses and makes its duties, which Run starts.
@@ -64,6 +70,8 @@
 		meters:   newMeters(),
 		inbox:    ring.New[input](inboxSize),
 		objects:  platform.NewObjects(place.Store, storeConnections),
+		peers:    newPeers(),
+		stopped:  make(chan struct{}),
 	}
 	h.log, h.logs = newLog(out, level, string(place.Host), string(place.Domain), func(missed int) {
 		h.meters.logDropped.Inc(int64(missed))
@@ -71,6 +79,10 @@
 	h.notes = newNoteWriter(h.log)
 	h.sender = newSender(h.report)
 	h.front = newFront(h.offer, h.meters)
+	self := scatter.Host{ID: place.Host, Domain: place.Domain, Address: place.Control, Power: place.Power}
+	h.registry = newRegistry(h.objects, h.peers, h.log, self, place.Seeds, h.deliver)
+	h.registry.hubs[platform.UpstreamFeedName].onSource = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
+	h.server = newPeerServer(h)
 	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform}
 	if err := h.listen(); err != nil {
 		h.closeListeners()
@@ -101,6 +113,9 @@
 	if h.readiness, err = net.Listen("tcp", h.place.Readiness); err != nil {
 		return eris.Wrap(err, "listen for readiness checks")
 	}
+	if h.control, err = net.Listen("tcp", h.place.Control); err != nil {
+		return eris.Wrap(err, "listen for hosts")
+	}
 	if h.settings.MetricsPort == 0 {
 		return nil
 	}
@@ -112,7 +127,7 @@
 }
 
 func (h *Host) closeListeners() {
-	for _, l := range []net.Listener{h.callers, h.readiness, h.admin} {
+	for _, l := range []net.Listener{h.callers, h.readiness, h.control, h.admin} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -122,23 +137,32 @@
 // report hands the core an event that must not be lost.
 func (h *Host) report(event scatter.Event) { h.inbox.PutWait(input{event: event}) }
 
+// deliver hands the core what a feed brought.
+func (h *Host) deliver(news platform.News) {
+	for _, event := range news.Events {
+		h.report(event)
+	}
+}
+
 // offer hands the core an event; false means that there is no room.
 func (h *Host) offer(event scatter.Event) bool { return h.inbox.Put(input{event: event}) }
 
 // perform carries out what the core decided.
 func (h *Host) perform(now time.Time, actions *scatter.Actions) {
 	for _, send := range actions.Sends {
-		forward := h.front.forward(send.Call)
-		if forward == nil {
-			// The caller left; the core learns of it by the next event.
-			go h.report(scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Unreached, Cause: "the caller left"})
-			continue
-		}
-		h.sender.send(send, forward)
+		h.send(send)
 	}
 	for _, cancel := range actions.Cancels {
 		h.sender.cancel(cancel.Attempt)
 	}
+	for _, handover := range actions.Handovers {
+		h.handOver(handover)
+	}
+	for _, call := range actions.CallsGone {
+		if p := h.front.find(call); p != nil && p.endHandover != nil {
+			p.endHandover()
+		}
+	}
 	for _, answer := range actions.Answers {
 		h.front.answer(answer)
 	}
@@ -150,12 +174,51 @@
 			}
 		}
 	}
-	if !h.ready.Load() && h.decision.core.Ready() {
+	h.followCore(now)
+}
+
+func (h *Host) send(send scatter.Send) {
+	if p := h.front.find(send.Call); p != nil {
+		h.sender.send(send, p.request.Forward)
+		return
+	}
+	// The caller left; the core learns of it by a later event.
+	go h.report(scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Unreached, Cause: "the caller left"})
+}
+
+// handOver has another host answer a call.
+func (h *Host) handOver(handover scatter.Handover) {
+	p := h.front.find(handover.Call)
+	if p == nil {
+		return // the caller left; the core learns of it by a later event
+	}
+	ctx, cancel := context.WithDeadline(p.ctx, handover.Deadline)
+	p.endHandover = cancel
+	go func() {
+		defer cancel()
+		h.report(h.peers.runAt(ctx, handover, p.request))
+	}()
+}
+
+// followCore passes on what the core's beliefs mean for the other duties.
+func (h *Host) followCore(now time.Time) {
+	c := h.decision.core
+	if !h.ready.Load() && c.Serves() {
 		h.ready.Store(true)
-		h.log.Info().Str("event", "ready").Uint64("config_version", h.decision.core.Version()).Msg("requests can be answered")
+		h.log.Info().Str("event", "ready").Str("role", c.Role().String()).Uint64("config_version", c.Version()).Msg("requests can be answered")
+	}
+	current := h.registry.current.Load()
+	if ranked, active := c.Ranked(), c.Active(now); active != current.active || len(ranked) > 0 && !sameHosts(ranked, current.ranked) {
+		h.registry.current.Store(&plan{self: current.self, ranked: ranked, active: active})
 	}
 }
 
+// sameHosts compares two rankings that the core returned: it makes a new one
+// for each change.
+func sameHosts(a, b []scatter.Host) bool {
+	return len(a) == len(b) && &a[0] == &b[0]
+}
+
 // Run serves until ctx ends, then stops without cutting a request.
 func (h *Host) Run(ctx context.Context) error {
 	h.log.Info().Str("event", "start").Str("callers", h.place.Callers).Str("store", h.place.Store).Msg("the host starts")
@@ -190,7 +253,8 @@
 	}
 	h.duties.Go(h.decision.run)
 	h.duties.Go(func() { h.sender.sweep(ctx) })
-	h.follow(ctx)
+	h.duties.Go(func() { h.registry.run(ctx) })
+	serve(func() error { return h.server.Serve(h.control) })
 	serve(func() error { return h.front.run(h.callers) })
 	serve(func() error { return serveUntilClosed(h.readiness, http.HandlerFunc(h.serveReady)) })
 	if h.admin != nil {
@@ -200,24 +264,6 @@
 	}
 }
 
-// follow starts the duties that read the store.
-func (h *Host) follow(ctx context.Context) {
-	upstreams := &follower{feed: platform.UpstreamFeed(h.objects), report: h.report, log: h.log}
-	upstreams.reachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
-	followers := []*follower{
-		{feed: platform.ConfigFeed(h.objects), report: h.report, log: h.log},
-		upstreams,
-		{feed: platform.DomainFeed(h.objects), report: h.report, log: h.log},
-	}
-	for _, f := range followers {
-		h.duties.Go(func() { f.run(ctx) })
-	}
-	members := &roster{objects: h.objects, report: h.report, log: h.log, self: platform.HostRecord{
-		Host: h.place.Host, Domain: h.place.Domain, Address: h.place.Control, Incarnation: uint64(time.Now().UnixMicro()),
-	}}
-	h.duties.Go(func() { members.run(ctx) })
-}
-
 func serveUntilClosed(listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: fallbackHeaderTimeout, IdleTimeout: fallbackIdleTimeout}
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -240,6 +286,7 @@
 	started := time.Now()
 	h.stopping.Store(true)
 	h.front.stopping.Store(true)
+	close(h.stopped)
 	h.log.Info().Str("event", "stopping").Dur("within", h.place.StopWithin).Msg("planned stop")
 	time.Sleep(time.Duration(lingerShare * float64(h.place.StopWithin)))
 	end := started.Add(time.Duration(finishShare * float64(h.place.StopWithin)))
@@ -248,12 +295,28 @@
 	if err := h.front.server.Shutdown(ctx); err != nil {
 		h.log.Warn().Str("event", "stop_incomplete").AnErr("cause", err).Msg("requests still run")
 	}
+	stopServer(ctx, h.server)
 	stopDuties()
+	h.peers.close()
 	h.log.Info().Str("event", "stopped").Dur("after", time.Since(started)).Msg("the host ends")
 }
 
+// stopServer lets the calls of other hosts end, at most until ctx ends.
+func stopServer(ctx context.Context, server *grpc.Server) {
+	ended := make(chan struct{})
+	go func() {
+		server.GracefulStop()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		server.Stop()
+	}
+}
+
 // Reload takes the platform's settings again; only those that the host can
 // change while it runs have an effect, of which there are none yet.
 func (h *Host) Reload(place platform.HostSettings) {
-	h.log.Info().Str("event", "reload").Bool("changed", place != h.place).Msg("settings read again")
+	h.log.Info().Str("event", "reload").Bool("changed", !reflect.DeepEqual(place, h.place)).Msg("settings read again")
 }
--- /dev/null
+++ b/edge/hub.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"sync"
+
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// subscriberBuffer is how many updates wait for one follower; one that falls
+// further behind is cut off, and begins anew with everything.
+const subscriberBuffer = 64
+
+// hub keeps the newest state of one feed and hands changes to this host's core
+// and to the hosts that follow this one. Updates may come from several sources
+// at once; each changes the state once.
+type hub struct {
+	feed    *platform.Feed
+	deliver func(platform.News)
+
+	mu          sync.Mutex
+	known       bool
+	revision    uint64
+	objects     map[string]platform.Change
+	sources     int // that are up
+	storeUp     bool
+	onSource    func(up bool)
+	subscribers map[*subscriber]struct{}
+}
+
+// subscriber is one host that follows this one.
+type subscriber struct {
+	updates chan platform.Update // closed when it is cut off
+}
+
+func newHub(feed *platform.Feed, deliver func(platform.News)) *hub {
+	return &hub{
+		feed: feed, deliver: deliver,
+		objects: map[string]platform.Change{}, subscribers: map[*subscriber]struct{}{},
+	}
+}
+
+// apply takes an update from a source. False means that changes before it are
+// missing: the source has to send everything.
+func (h *hub) apply(u platform.Update) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !u.Reset && (!h.known || u.Base > h.revision):
+		return false
+	case h.known && u.Revision < h.revision:
+		return true // older than what is known
+	case !u.Reset && u.Revision == h.revision:
+		return true
+	}
+	if u.Reset {
+		clear(h.objects)
+	}
+	for _, c := range u.Changes {
+		if c.Removed {
+			delete(h.objects, c.Object.Meta.Name)
+		} else {
+			h.objects[c.Object.Meta.Name] = c
+		}
+	}
+	h.known, h.revision = true, u.Revision
+	h.deliver(h.feed.Events(u))
+	for s := range h.subscribers {
+		select {
+		case s.updates <- u:
+		default:
+			h.cutLocked(s)
+		}
+	}
+	return true
+}
+
+// whole returns everything as one update; the lock is held.
+func (h *hub) whole() platform.Update {
+	u := platform.Update{Reset: true, Revision: h.revision, Changes: make([]platform.Change, 0, len(h.objects))}
+	for _, c := range h.objects {
+		u.Changes = append(u.Changes, c)
+	}
+	return u
+}
+
+// subscribe returns a subscriber whose first update is everything; nil while
+// this host does not read the store itself.
+func (h *hub) subscribe() *subscriber {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known || !h.storeUp {
+		return nil
+	}
+	s := &subscriber{updates: make(chan platform.Update, subscriberBuffer)}
+	s.updates <- h.whole()
+	h.subscribers[s] = struct{}{}
+	return s
+}
+
+// cut ends a subscriber.
+func (h *hub) cut(s *subscriber) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cutLocked(s)
+}
+
+func (h *hub) cutLocked(s *subscriber) {
+	if _, found := h.subscribers[s]; found {
+		delete(h.subscribers, s)
+		close(s.updates)
+	}
+}
+
+// setStoreUp notes that this host's own reading of the store works or not.
+// Followers of a host that cannot read are cut off and turn elsewhere.
+func (h *hub) setStoreUp(up bool) {
+	h.mu.Lock()
+	changed := h.storeUp != up
+	h.storeUp = up
+	if !up {
+		for s := range h.subscribers {
+			h.cutLocked(s)
+		}
+	}
+	h.mu.Unlock()
+	if changed {
+		h.countSource(up)
+	}
+}
+
+// countSource notes that a source came up or went down.
+func (h *hub) countSource(up bool) {
+	h.mu.Lock()
+	before := h.sources > 0
+	if up {
+		h.sources++
+	} else {
+		h.sources--
+	}
+	after := h.sources > 0
+	notify := h.onSource
+	h.mu.Unlock()
+	if before != after && notify != nil {
+		notify(after)
+	}
+}
+
+// isKnown says whether the feed was read at all.
+func (h *hub) isKnown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.known
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,174 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/edgepb"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+const (
+	// peerConnectTimeout ends the opening of a connection to a host;
+	// peerBackoff is the pause after one that failed, which doubles up to
+	// peerMaxBackoff.
+	peerConnectTimeout = 600 * time.Millisecond
+	peerBackoff        = 100 * time.Millisecond
+	peerMaxBackoff     = time.Second
+	// peerUnacknowledged closes a connection on which the other host
+	// acknowledges nothing for so long; peerPing finds one that went silent
+	// while nothing is sent. The library takes nothing shorter.
+	peerUnacknowledged = time.Second
+	peerPing           = 10 * time.Second
+	// peerMessageBytes is the most bytes of one message.
+	peerMessageBytes = 32 << 20
+)
+
+// peers holds the connections to other hosts by address.
+type peers struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+func newPeers() *peers { return &peers{conns: map[string]*grpc.ClientConn{}} }
+
+// client returns a client of the host at an address, which is connected when
+// it is first used.
+func (p *peers) client(address string) (edgepb.EdgeClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.conns[address]; conn != nil {
+		return edgepb.NewEdgeClient(conn), nil
+	}
+	conn, err := grpc.NewClient(
+		"passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: peerBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: peerMaxBackoff},
+			MinConnectTimeout: peerConnectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerPing, Timeout: peerUnacknowledged}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(peerMessageBytes)),
+	)
+	if err != nil {
+		return nil, eris.Wrap(err, "host at "+address)
+	}
+	p.conns[address] = conn
+	return edgepb.NewEdgeClient(conn), nil
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// sentKey holds an *atomic.Bool that becomes true once a call's headers were sent.
+type sentKey struct{}
+
+// sentHandler notes which calls may have reached the other host.
+type sentHandler struct{}
+
+// TagRPC implements stats.Handler.
+func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, out := s.(*stats.OutHeader); !out {
+		return
+	}
+	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		sent.Store(true)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
+
+// runAt has another host answer a request. The context ends when the caller
+// leaves or the deadline is over.
+func (p *peers) runAt(ctx context.Context, h scatter.Handover, request platform.CallerRequest) scatter.HandoverEnded {
+	ended := scatter.HandoverEnded{Call: h.Call, To: h.To.ID, Outcome: scatter.Unreached}
+	client, err := p.client(h.To.Address)
+	if err != nil {
+		ended.Cause = err.Error()
+		return ended
+	}
+	var sent atomic.Bool
+	reply, err := client.Run(context.WithValue(ctx, sentKey{}, &sent), encodeRun(h, request))
+	switch {
+	case err == nil && reply.Declined:
+		ended.Outcome, ended.Cause = scatter.NotExecuted, "declined"
+	case err == nil:
+		ended.Outcome = scatter.Succeeded
+		ended.Payload = platform.NewReply(int(reply.Status), decodeHeaders(reply.Headers), reply.Body)
+	case sent.Load() && status.Code(err) != codes.Unimplemented:
+		ended.Outcome, ended.Cause = scatter.Lost, err.Error()
+	default:
+		ended.Cause = err.Error()
+	}
+	return ended
+}
+
+// handoverReturn is the allowance for the way between two hosts and for the
+// work of the one that took the request.
+const handoverReturn = 4 * time.Millisecond
+
+func encodeRun(h scatter.Handover, request platform.CallerRequest) *edgepb.RunRequest {
+	m := request.Message
+	return &edgepb.RunRequest{
+		Method:     m.Method,
+		Host:       m.Host,
+		Target:     m.Target,
+		Headers:    encodeHeaders(m.Header),
+		Body:       m.Body,
+		Framed:     m.Framed,
+		SpentUs:    (h.Spent + handoverReturn).Microseconds(),
+		AllowStale: h.AllowStale,
+	}
+}
+
+func decodeRun(r *edgepb.RunRequest) platform.CallerRequest {
+	return platform.NewRequest(platform.Message{
+		Method: r.Method, Host: r.Host, Target: r.Target,
+		Header: decodeHeaders(r.Headers), Body: r.Body, Framed: r.Framed,
+	})
+}
+
+func encodeHeaders(header http.Header) []*edgepb.Header {
+	encoded := make([]*edgepb.Header, 0, len(header))
+	for name, values := range header {
+		encoded = append(encoded, &edgepb.Header{Name: name, Values: values})
+	}
+	return encoded
+}
+
+func decodeHeaders(encoded []*edgepb.Header) http.Header {
+	header := make(http.Header, len(encoded))
+	for _, h := range encoded {
+		header[h.Name] = h.Values
+	}
+	return header
+}
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
 
@@ -27,84 +26,68 @@
 	maxStoreBackoff   = time.Second
 )
 
-// follower is the duty that follows one feed of the store.
-type follower struct {
-	feed   *platform.Feed
-	report func(scatter.Event)
-	// reachable is told when the store stops or begins to answer; it may be
-	// nil.
-	reachable func(bool)
-	log       zerolog.Logger
-	up        bool
-	failures  int
+// storeReader is the duty that reads one feed from the store.
+type storeReader struct {
+	hub      *hub
+	log      zerolog.Logger
+	up       bool
+	failures int
 }
 
-// run follows the feed until ctx ends.
-func (f *follower) run(ctx context.Context) {
+// run reads the feed until ctx ends.
+func (r *storeReader) run(ctx context.Context) {
+	defer r.hub.setStoreUp(false)
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
-		news, err := f.next(ctx, listed, revision)
+		update, err := r.next(ctx, listed, revision)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
 			listed = false
-			f.log.Warn().Str("event", "store_history_gone").Str("feed", f.feed.Name).Uint64("revision", revision).Msg("listing again")
+			r.log.Warn().Str("event", "store_history_gone").Str("feed", r.hub.feed.Name).Uint64("revision", revision).Msg("listing again")
 		case err != nil:
-			f.failed(ctx, err)
+			r.failed(ctx, err)
 		default:
-			f.succeeded()
-			listed, revision = true, news.Revision
-			f.deliver(news)
+			r.succeeded()
+			revision = update.Revision
+			listed = r.hub.apply(update)
+			r.hub.setStoreUp(true)
 		}
 	}
 }
 
-func (f *follower) next(ctx context.Context, listed bool, revision uint64) (platform.News, error) {
+func (r *storeReader) next(ctx context.Context, listed bool, revision uint64) (platform.Update, error) {
 	if listed {
 		ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 		defer cancel()
-		return f.feed.Watch(ctx, revision, watchWait)
+		return r.hub.feed.Watch(ctx, revision, watchWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	return f.feed.List(ctx)
+	return r.hub.feed.List(ctx)
 }
 
-func (f *follower) deliver(news platform.News) {
-	for _, problem := range news.Problems {
-		f.log.Warn().Str("event", "entry_ignored").Str("feed", f.feed.Name).Uint64("revision", news.Revision).AnErr("cause", problem).Msg("an entry names nothing to use")
-	}
-	for _, event := range news.Events {
-		f.report(event)
-	}
-}
-
-func (f *follower) succeeded() {
-	f.failures = 0
-	if f.up {
+func (r *storeReader) succeeded() {
+	r.failures = 0
+	if r.up {
 		return
 	}
-	f.up = true
-	f.log.Info().Str("event", "dependency_regained").Str("feed", f.feed.Name).Msg("the store answers")
-	if f.reachable != nil {
-		f.reachable(true)
-	}
+	r.up = true
+	r.log.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("feed", r.hub.feed.Name).Msg("the store answers")
 }
 
 // failed pauses after a call without a result.
-func (f *follower) failed(ctx context.Context, err error) {
+func (r *storeReader) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if f.up || f.failures == 0 {
-		f.log.Warn().Str("event", "dependency_lost").Str("feed", f.feed.Name).AnErr("cause", err).Msg("the store does not answer")
-	}
-	if f.up && f.reachable != nil {
-		f.reachable(false)
+	if r.up || r.failures == 0 {
+		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("feed", r.hub.feed.Name).AnErr("cause", err).Msg("the store does not answer")
 	}
-	f.up = false
-	backoff := min(maxStoreBackoff, firstStoreBackoff<<min(f.failures, 8))
-	f.failures++
+	r.up = false
+	r.hub.setStoreUp(false)
+	backoff := min(maxStoreBackoff, firstStoreBackoff<<min(r.failures, 8))
+	r.failures++
 	pause(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
 }
 
--- /dev/null
+++ b/edge/service.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/edgepb"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// heartbeatEvery is the time between two messages of a stream on which nothing
+// changes; followSilence without one ends the stream.
+const (
+	heartbeatEvery = 700 * time.Millisecond
+	followSilence  = 1600 * time.Millisecond
+)
+
+// service answers other hosts.
+type service struct {
+	edgepb.UnimplementedEdgeServer
+	host *Host
+}
+
+// newPeerServer makes the server for other hosts.
+func newPeerServer(h *Host) *grpc.Server {
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(peerMessageBytes))
+	edgepb.RegisterEdgeServer(server, &service{host: h})
+	return server
+}
+
+// Follow implements edgepb.EdgeServer.
+func (s *service) Follow(r *edgepb.FollowRequest, stream grpc.ServerStreamingServer[edgepb.FeedUpdate]) error {
+	type source struct {
+		hub        *hub
+		subscriber *subscriber
+	}
+	sources := make([]source, 0, len(r.Feeds))
+	defer func() {
+		for _, s := range sources {
+			s.hub.cut(s.subscriber)
+		}
+	}()
+	merged := make(chan *edgepb.FeedUpdate)
+	for _, name := range r.Feeds {
+		hub := s.host.registry.hubs[name]
+		if hub == nil {
+			return status.Errorf(codes.InvalidArgument, "feed %q", name)
+		}
+		subscriber := hub.subscribe()
+		if subscriber == nil {
+			return status.Error(codes.Unavailable, "this host does not read the store")
+		}
+		sources = append(sources, source{hub, subscriber})
+		go forwardUpdates(stream.Context(), name, subscriber, merged)
+	}
+	return sendUpdates(stream, merged, s.host.stopped)
+}
+
+// forwardUpdates encodes a subscriber's updates until it is cut off; a nil
+// update says that it was.
+func forwardUpdates(ctx context.Context, name string, s *subscriber, merged chan<- *edgepb.FeedUpdate) {
+	put := func(u *edgepb.FeedUpdate) bool {
+		select {
+		case merged <- u:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for u := range s.updates {
+		changes, err := platform.EncodeChanges(u.Changes)
+		if err != nil {
+			break
+		}
+		if !put(&edgepb.FeedUpdate{Feed: name, Reset_: u.Reset, Base: u.Base, Revision: u.Revision, Changes: changes}) {
+			return
+		}
+	}
+	put(nil)
+}
+
+func sendUpdates(stream grpc.ServerStreamingServer[edgepb.FeedUpdate], merged <-chan *edgepb.FeedUpdate, stopped <-chan struct{}) error {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		update := &edgepb.FeedUpdate{}
+		select {
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-stopped:
+			return status.Error(codes.Unavailable, "this host stops")
+		case update = <-merged:
+			if update == nil {
+				return status.Error(codes.Unavailable, "this host does not read the store any more")
+			}
+		case <-ticker.C:
+		}
+		if err := stream.Send(update); err != nil {
+			return err
+		}
+	}
+}
+
+// Run implements edgepb.EdgeServer.
+func (s *service) Run(ctx context.Context, r *edgepb.RunRequest) (*edgepb.RunReply, error) {
+	declined := &edgepb.RunReply{Declined: true}
+	if s.host.stopping.Load() {
+		return declined, nil
+	}
+	request := decodeRun(r)
+	arrived := time.Now().Add(-time.Duration(r.SpentUs) * time.Microsecond)
+	answer, left := s.host.front.ask(ctx, request, scatter.Arrived{At: arrived, FromHost: true, AllowStale: r.AllowStale})
+	switch {
+	case left:
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case answer.Kind == scatter.Declined:
+		return declined, nil
+	}
+	reply := platform.Render(request, answer)
+	return &edgepb.RunReply{Status: int32(reply.Status), Headers: encodeHeaders(reply.Header), Body: reply.Body}, nil
+}
