--- a/edge/follow.go
+++ b/edge/follow.go
@@ -64,7 +64,9 @@
 	seeds   []string
 	hubs    map[string]*hub
 	hosts   *hub
-	current atomic.Pointer[plan]
+	// firstStart says that all hosts start for the first time.
+	firstStart bool
+	current    atomic.Pointer[plan]
 
 	following  atomic.Int32 // streams that are up
 	lastFollow atomic.Int64 // when one was up last, in nanoseconds of the steady clock
@@ -103,8 +105,11 @@
 // run keeps the host informed until ctx ends.
 func (r *registry) run(ctx context.Context) {
 	go r.register(ctx)
+	if r.firstStart {
+		pause(ctx, startDelay)
+	}
 	r.learnHosts(ctx)
-	r.lastFollow.Store(int64(time.Since(r.started))) // gives the first streams time
+	r.prime(ctx)
 	work := &registryWork{registry: r}
 	defer work.stopAll()
 	ticker := time.NewTicker(superviseEvery)
@@ -119,6 +124,36 @@
 	}
 }
 
+// prime reads everything once, if this host has to know it, so that it can serve
+// before its streams are up.
+func (r *registry) prime(ctx context.Context) {
+	defer func() { r.lastFollow.Store(int64(time.Since(r.started))) }()
+	pause(ctx, coreSettles)
+	if !r.current.Load().active {
+		return
+	}
+	var lists sync.WaitGroup
+	for _, hub := range r.hubs {
+		if hub == r.hosts {
+			continue
+		}
+		lists.Go(func() {
+			attempt, cancel := context.WithTimeout(ctx, listTimeout)
+			defer cancel()
+			update, err := hub.feed.List(attempt)
+			if err != nil {
+				r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("feed", hub.feed.Name).AnErr("cause", err).Msg("the streams have to bring it")
+				return
+			}
+			hub.apply(update)
+		})
+	}
+	lists.Wait()
+}
+
+// coreSettles is how long the core gets to learn its role from the hosts.
+const coreSettles = 5 * time.Millisecond
+
 // register stores this host's record.
 func (r *registry) register(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -135,7 +170,6 @@
 
 // learnHosts reads the hosts once, from the store or from a seed.
 func (r *registry) learnHosts(ctx context.Context) {
-	pause(ctx, startDelay)
 	attempt, cancel := context.WithTimeout(ctx, listTimeout)
 	update, err := r.hosts.feed.List(attempt)
 	cancel()
