Edge: compressed streams, one estimate of a handover's time, strong hosts only

Change: only strong hosts gather; the time of handovers is estimated for each host; streams are compressed and carry the newest change of each object; a host is stale while any feed lacks a source; hosts are learned from seeds.

--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -69,7 +69,9 @@
 	// when the host declined, Unreached or Lost.
 	Outcome Outcome
 	Payload any
-	Cause   string
+	// Took is how long the host itself worked on the request.
+	Took  time.Duration
+	Cause string
 }
 
 // StoreReachable says whether the registry of upstreams answers this host.
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -13,7 +13,7 @@
 	suspectFirst = 200 * time.Millisecond
 	suspectMost  = 2 * time.Second
 	// handoverTries is the most hosts that are asked to take one request.
-	handoverTries = 4
+	handoverTries = 6
 	// silentAfter without an answer, while nothing else came from the host
 	// either, makes it rest.
 	silentAfter = 700 * time.Millisecond
@@ -34,6 +34,31 @@
 	suspects int
 	restsTo  time.Time
 	heardAt  time.Time
+	// declines counts refusals in a row for want of confirmed news, until
+	// declinesTo it is asked only when all others declined as well.
+	declines   int
+	declinesTo time.Time
+	// overhead estimates the time of a handover apart from the host's own
+	// work: the way there and back, and what this host does for it.
+	overhead time.Duration
+}
+
+const (
+	// firstOverhead is the estimate before the first observation.
+	firstOverhead = 6 * time.Millisecond
+	// overheadRise and overheadFall are the steps of the estimate, which settle
+	// where one of ten handovers takes longer.
+	overheadRise = 0.18
+	overheadFall = 0.02
+)
+
+func (p *peer) observeOverhead(observed time.Duration) {
+	if observed > p.overhead {
+		p.overhead += time.Duration(overheadRise * float64(p.overhead))
+	} else {
+		p.overhead -= time.Duration(overheadFall * float64(p.overhead))
+	}
+	p.overhead = max(p.overhead, minUsual)
 }
 
 // handover is a request that another host answers.
@@ -73,7 +98,7 @@
 
 func (e *Engine) tryHandover(now time.Time, h *handover) {
 	p := e.pickPeer(now, h)
-	if p == nil && !h.stale {
+	if p == nil && !h.stale && len(h.tried) < handoverTries {
 		// Nobody has confirmed news: what they know has to do.
 		h.stale, h.tried = true, map[core.HostID]bool{}
 		p = e.pickPeer(now, h)
@@ -86,7 +111,7 @@
 	h.tried[p.ID] = true
 	p.running++
 	e.out.Handovers = append(e.out.Handovers, Handover{
-		Call: h.arrived.Call, To: p.Host, Deadline: h.deadline, Spent: now.Sub(h.arrived.At), AllowStale: h.stale,
+		Call: h.arrived.Call, To: p.Host, Deadline: h.deadline, Spent: now.Sub(h.arrived.At) + p.overhead, AllowStale: h.stale,
 	})
 }
 
@@ -118,16 +143,16 @@
 	}
 	var best *peer
 	bestCost := math.Inf(1)
-	for at, host := range e.fleet.ranked[:min(len(e.fleet.ranked), maxGatherers+standbys)] {
+	for at, host := range e.fleet.able() {
 		p := e.fleet.peers[host.ID]
-		if p == nil || h.tried[p.ID] || now.Before(p.restsTo) {
+		if p == nil || h.tried[p.ID] || now.Before(p.restsTo) || !h.stale && now.Before(p.declinesTo) {
 			continue
 		}
 		cost := float64(p.running)/max(p.Power, 0.01) + e.options.Random()
 		if p.Domain != e.fleet.domain {
 			cost += remoteHandover
 		}
-		if at >= maxGatherers {
+		if at >= e.fleet.gatherers() {
 			cost += standbyHandover
 		}
 		if cost < bestCost {
@@ -152,10 +177,13 @@
 	h.to = nil
 	switch r.Outcome {
 	case Succeeded, Failed:
-		p.suspects, p.heardAt = 0, now
+		p.suspects, p.declines, p.heardAt = 0, 0, now
+		p.observeOverhead(now.Sub(h.arrived.At) - r.Took)
 		e.endHandover(now, h, Answer{Kind: PassedOn, Payload: r.Payload})
 	case NotExecuted:
-		e.rest(now, p, r)
+		p.declinesTo = now.Add(min(suspectMost, suspectFirst<<min(p.declines, 8)))
+		p.declines++
+		e.note(Note{Decision: DecisionPeer, Upstream: core.UpstreamID(p.ID), Detail: r.Cause})
 		e.tryHandover(now, h)
 	case Lost:
 		e.rest(now, p, r)
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -52,7 +52,9 @@
 // RankHosts returns the hosts in the order in which they gather: strong ones
 // first, the failure domains by turns, so that neighbours in rank do not fail
 // together. All hosts that know the same hosts return the same order.
-func RankHosts(hosts []Host) []Host {
+//
+// The number of strong hosts is returned too.
+func RankHosts(hosts []Host) (ranked []Host, strongHosts int) {
 	strongest := 0.0
 	for _, h := range hosts {
 		strongest = max(strongest, h.Power)
@@ -65,7 +67,7 @@
 			weak = append(weak, h)
 		}
 	}
-	return append(interleave(strong), interleave(weak)...)
+	return append(interleave(strong), interleave(weak)...), len(strong)
 }
 
 // interleave takes one host of each failure domain in turn.
@@ -93,6 +95,7 @@
 	self   core.HostID
 	domain core.DomainID
 	ranked []Host
+	strong int // how many of ranked are strong
 	role   Role
 	peers  map[core.HostID]*peer
 }
@@ -103,20 +106,20 @@
 
 // set takes the hosts of the tier, and returns whether anything changed.
 func (f *fleet) set(hosts []Host) bool {
-	ranked := RankHosts(hosts)
+	ranked, strong := RankHosts(hosts)
 	if slices.Equal(ranked, f.ranked) {
 		return false
 	}
-	f.ranked = ranked
+	f.ranked, f.strong = ranked, strong
 	f.role = f.roleOf(f.self)
 	peers := map[core.HostID]*peer{}
-	for _, h := range ranked[:min(len(ranked), maxGatherers+standbys)] {
+	for _, h := range f.able() {
 		if h.ID == f.self {
 			continue
 		}
 		p := f.peers[h.ID]
 		if p == nil || p.Address != h.Address {
-			p = &peer{}
+			p = &peer{overhead: firstOverhead}
 		}
 		p.Host = h
 		peers[h.ID] = p
@@ -129,9 +132,9 @@
 func (f *fleet) roleOf(id core.HostID) Role {
 	at := slices.IndexFunc(f.ranked, func(h Host) bool { return h.ID == id })
 	switch {
-	case at < maxGatherers:
+	case at < f.gatherers():
 		return Gatherer
-	case at < maxGatherers+standbys:
+	case at < len(f.able()):
 		return Standby
 	default:
 		return Entry
@@ -139,7 +142,10 @@
 }
 
 // gatherers returns how many hosts send to upstreams in ordinary times.
-func (f *fleet) gatherers() int { return min(len(f.ranked), maxGatherers) }
+func (f *fleet) gatherers() int { return min(f.strong, maxGatherers) }
+
+// able returns the hosts that requests are handed to, gatherers first.
+func (f *fleet) able() []Host { return f.ranked[:min(len(f.ranked), f.gatherers()+standbys)] }
 
 // allowanceShare is this host's part of what the tier may spend beyond a ratio
 // of its requests. Hosts that are not meant to gather have none.
@@ -147,5 +153,5 @@
 	if f.role == Entry || len(f.ranked) == 0 {
 		return 0
 	}
-	return 1 / float64(min(len(f.ranked), maxGatherers+standbys))
+	return 1 / float64(len(f.able()))
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,20 +16,28 @@
 )
 
 const (
-	// readers is how many hosts read the store for the others.
-	readers = 3
+	// readers is how many hosts read the store for the others; candidates are
+	// asked in turn when these do not.
+	readers    = 3
+	candidates = 8
 	// followed is how many readers a host follows that has to know everything
 	// in time, even while one of them is cut off.
 	followed = 2
 	// superviseEvery is the time between two looks at what to read from whom.
 	superviseEvery = 200 * time.Millisecond
 	// aloneAfter without a reader, a host reads the store itself, until it has
-	// followed one for settledAfter.
-	aloneAfter   = 500 * time.Millisecond
+	// followed one for settledAfter. Hosts of lower rank wait aloneStagger
+	// longer each, and may find that one before them reads.
+	aloneAfter   = 300 * time.Millisecond
+	aloneStagger = 50 * time.Millisecond
 	settledAfter = 5 * time.Second
 	// startDelay lets hosts that start together register before the first list
 	// of hosts is read.
 	startDelay = 400 * time.Millisecond
+	// seedRounds is how often the seeds are asked before the store, seedTimeout
+	// what one may take.
+	seedRounds  = 2
+	seedTimeout = 300 * time.Millisecond
 	// registerRetry is the pause after a registration that failed.
 	registerRetry = time.Second
 	// followRetry is the pause after all readers were tried.
@@ -43,16 +52,19 @@
 	active bool
 }
 
-// reads says that this host reads the store for others.
-func (p *plan) reads() bool {
-	for _, h := range p.ranked[:min(len(p.ranked), readers)] {
+// rank is this host's place in the ranking, up to the number of candidates.
+func (p *plan) rank() int {
+	for at, h := range p.ranked[:min(len(p.ranked), candidates)] {
 		if h.ID == p.self.ID {
-			return true
+			return at
 		}
 	}
-	return false
+	return candidates
 }
 
+// reads says that this host reads the store for others.
+func (p *plan) reads() bool { return p.rank() < readers }
+
 // registry is the duty that keeps a host informed. A few hosts read the store
 // and stream what they read to the others; a host that reaches none of them
 // reads the store itself.
@@ -66,7 +78,12 @@
 	hosts   *hub
 	// firstStart says that all hosts start for the first time.
 	firstStart bool
-	current    atomic.Pointer[plan]
+	// onReachable is told when the first feed is cut off, and when all are
+	// back.
+	onReachable func(bool)
+	sourceLock  sync.Mutex
+	sourced     int // feeds that have a source
+	current     atomic.Pointer[plan]
 
 	following  atomic.Int32 // streams that are up
 	lastFollow atomic.Int64 // when one was up last, in nanoseconds of the steady clock
@@ -85,6 +102,7 @@
 		platform.ConfigFeed(objects), platform.UpstreamFeed(objects), platform.DomainFeed(objects), platform.HostFeed(objects),
 	} {
 		r.hubs[feed.Name] = newHub(feed, logged)
+		r.hubs[feed.Name].onSource = r.sourceChanged
 	}
 	r.hosts = r.hubs[platform.HostFeedName]
 	r.current.Store(&plan{self: self, active: true})
@@ -168,28 +186,45 @@
 	}
 }
 
-// learnHosts reads the hosts once, from the store or from a seed.
+// learnHosts reads the hosts once, from a seed or from the store.
 func (r *registry) learnHosts(ctx context.Context) {
+	for range seedRounds {
+		for _, seed := range r.seeds {
+			if seed == r.self.Address {
+				continue // a seed asks the store
+			}
+			if err := r.snapshot(ctx, seed); err == nil {
+				return
+			}
+		}
+		if len(r.seeds) == 0 || slices.Contains(r.seeds, r.self.Address) {
+			break
+		}
+		pause(ctx, followRetry)
+	}
 	attempt, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	update, err := r.hosts.feed.List(attempt)
-	cancel()
-	if err == nil {
-		r.hosts.apply(update)
+	if err != nil {
+		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").AnErr("cause", err).Msg("no host is known")
 		return
 	}
-	r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").AnErr("cause", err).Msg("asking the seeds for hosts")
-	for _, seed := range r.seeds {
-		if seed == r.self.Address {
-			continue
-		}
-		attempt, cancel := context.WithTimeout(ctx, listTimeout)
-		err := r.follow(attempt, seed, r.feeds(false), func() { cancel() })
-		cancel()
-		if r.hosts.isKnown() {
-			return
-		}
-		r.log.Warn().Str("event", "seed_failed").Str("seed", seed).AnErr("cause", err).Send()
+	r.hosts.apply(update)
+}
+
+// snapshot reads the hosts from another one.
+func (r *registry) snapshot(ctx context.Context, address string) error {
+	client, err := r.peers.client(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	message, err := client.Snapshot(ctx, &edgepb.SnapshotRequest{Feed: platform.HostFeedName})
+	if err != nil {
+		return eris.Wrap(err, "seed")
 	}
+	return r.take(message)
 }
 
 // follow takes a host's stream until it ends; up is called after the first
@@ -241,6 +276,21 @@
 	return nil
 }
 
+// sourceChanged counts the feeds that have a source.
+func (r *registry) sourceChanged(up bool) {
+	r.sourceLock.Lock()
+	defer r.sourceLock.Unlock()
+	before := r.sourced == len(r.hubs)
+	if up {
+		r.sourced++
+	} else {
+		r.sourced--
+	}
+	if after := r.sourced == len(r.hubs); before != after {
+		r.onReachable(after)
+	}
+}
+
 // setUp counts the streams that are up.
 func (r *registry) setUp(up bool, feeds []string) {
 	if up {
@@ -269,7 +319,7 @@
 // followShape is what decides which streams to keep.
 type followShape struct {
 	active bool
-	first  [readers]scatter.Host
+	first  [candidates]scatter.Host
 }
 
 // adjust starts and ends duties as the plan and the other hosts require.
@@ -285,7 +335,7 @@
 	}
 	w.adjustFollowers(ctx, p)
 	sinceFollowed := time.Since(r.started) - time.Duration(r.lastFollow.Load())
-	alone := !following && sinceFollowed > aloneAfter
+	alone := !following && sinceFollowed > aloneAfter+time.Duration(p.rank())*aloneStagger
 	settled := following && time.Since(w.settled) > settledAfter
 	switch {
 	case w.store == nil && p.active && (p.reads() || alone):
@@ -315,7 +365,7 @@
 		w.followers = nil
 	}
 	var others []scatter.Host
-	for _, h := range p.ranked[:min(len(p.ranked), readers)] {
+	for _, h := range p.ranked[:min(len(p.ranked), candidates)] {
 		if h.ID != p.self.ID {
 			others = append(others, h)
 		}
@@ -337,11 +387,12 @@
 // followAny keeps one stream open to one of the readers, each slot beginning
 // with another.
 func (r *registry) followAny(ctx context.Context, others []scatter.Host, slot, slots int, feeds []string) {
+	failures := 0
 	for at := slot; ctx.Err() == nil; at += slots {
 		reader := others[at%len(others)]
 		up := false
 		err := r.follow(ctx, reader.Address, feeds, func() {
-			up = true
+			up, failures = true, 0
 			r.setUp(true, feeds)
 			r.log.Info().Str("event", "dependency_regained").Str("dependency", "reader").Str("reader", string(reader.ID)).Msg("following")
 		})
@@ -351,8 +402,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "reader").Str("reader", string(reader.ID)).AnErr("cause", err).Msg("trying another")
-		if !up {
+		if failures == 0 {
+			r.log.Warn().Str("event", "dependency_lost").Str("dependency", "reader").Str("reader", string(reader.ID)).AnErr("cause", err).Msg("trying others")
+		}
+		failures++
+		if failures%len(others) == 0 {
 			pause(ctx, followRetry)
 		}
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -82,7 +82,7 @@
 	self := scatter.Host{ID: place.Host, Domain: place.Domain, Address: place.Control, Power: place.Power}
 	h.registry = newRegistry(h.objects, h.peers, h.log, self, place.Seeds, h.deliver)
 	h.registry.firstStart = place.FirstStart
-	h.registry.hubs[platform.UpstreamFeedName].onSource = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
+	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
 	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform}
 	if err := h.listen(); err != nil {
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/samphirebeam/samphirebeam/edgepb"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
 
@@ -29,7 +30,7 @@
 
 // subscriber is one host that follows this one.
 type subscriber struct {
-	updates chan platform.Update // closed when it is cut off
+	updates chan *edgepb.FeedUpdate // closed when it is cut off
 }
 
 func newHub(feed *platform.Feed, deliver func(platform.News)) *hub {
@@ -64,14 +65,35 @@
 	}
 	h.known, h.revision = true, u.Revision
 	h.deliver(h.feed.Events(u))
+	h.publish(u)
+	return true
+}
+
+// publish hands an update to the followers; the lock is held.
+func (h *hub) publish(u platform.Update) {
+	if len(h.subscribers) == 0 {
+		return
+	}
+	encoded, err := h.encode(u)
 	for s := range h.subscribers {
+		if err != nil {
+			h.cutLocked(s)
+			continue
+		}
 		select {
-		case s.updates <- u:
+		case s.updates <- encoded:
 		default:
 			h.cutLocked(s)
 		}
 	}
-	return true
+}
+
+func (h *hub) encode(u platform.Update) (*edgepb.FeedUpdate, error) {
+	changes, err := platform.EncodeChanges(u.Changes)
+	if err != nil {
+		return nil, err
+	}
+	return &edgepb.FeedUpdate{Feed: h.feed.Name, Reset_: u.Reset, Base: u.Base, Revision: u.Revision, Changes: changes}, nil
 }
 
 // whole returns everything as one update; the lock is held.
@@ -83,18 +105,32 @@
 	return u
 }
 
+// snapshot returns what is known, which may be old; nil when nothing is.
+func (h *hub) snapshot() (*edgepb.FeedUpdate, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known {
+		return nil, nil
+	}
+	return h.encode(h.whole())
+}
+
 // subscribe returns a subscriber whose first update is everything; nil while
 // this host does not read the store itself.
-func (h *hub) subscribe() *subscriber {
+func (h *hub) subscribe() (*subscriber, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.known || !h.storeUp {
-		return nil
+		return nil, nil
 	}
-	s := &subscriber{updates: make(chan platform.Update, subscriberBuffer)}
-	s.updates <- h.whole()
+	whole, err := h.encode(h.whole())
+	if err != nil {
+		return nil, err
+	}
+	s := &subscriber{updates: make(chan *edgepb.FeedUpdate, subscriberBuffer)}
+	s.updates <- whole
 	h.subscribers[s] = struct{}{}
-	return s
+	return s, nil
 }
 
 // cut ends a subscriber.
@@ -144,10 +180,3 @@
 		notify(after)
 	}
 }
-
-// isKnown says whether the feed was read at all.
-func (h *hub) isKnown() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.known
-}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -123,6 +123,7 @@
 		ended.Outcome, ended.Cause = scatter.NotExecuted, "declined"
 	case err == nil:
 		ended.Outcome = scatter.Succeeded
+		ended.Took = time.Duration(reply.TookUs) * time.Microsecond
 		ended.Payload = platform.NewReply(int(reply.Status), decodeHeaders(reply.Headers), reply.Body)
 	case sent.Load() && status.Code(err) != codes.Unimplemented:
 		ended.Outcome, ended.Cause = scatter.Lost, err.Error()
@@ -132,10 +133,6 @@
 	return ended
 }
 
-// handoverReturn is the allowance for the way between two hosts and for the
-// work of the one that took the request.
-const handoverReturn = 4 * time.Millisecond
-
 func encodeRun(h scatter.Handover, request platform.CallerRequest) *edgepb.RunRequest {
 	m := request.Message
 	return &edgepb.RunRequest{
@@ -145,7 +142,7 @@
 		Headers:    encodeHeaders(m.Header),
 		Body:       m.Body,
 		Framed:     m.Framed,
-		SpentUs:    (h.Spent + handoverReturn).Microseconds(),
+		SpentUs:    h.Spent.Microseconds(),
 		AllowStale: h.AllowStale,
 	}
 }
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -18,6 +18,9 @@
 	watchWait = 4 * time.Second
 	// watchSlack is how much longer than its wait a watch may take.
 	watchSlack = 1200 * time.Millisecond
+	// batchChanges is the pause after changes, so that those that follow each
+	// other closely come with one call.
+	batchChanges = 200 * time.Millisecond
 	// listTimeout ends the reading of a list.
 	listTimeout = 1500 * time.Millisecond
 	// firstStoreBackoff is the pause after a call that failed; it doubles up to
@@ -52,6 +55,9 @@
 			revision = update.Revision
 			listed = r.hub.apply(update)
 			r.hub.setStoreUp(true)
+			if len(update.Changes) > 0 {
+				pause(ctx, batchChanges)
+			}
 		}
 	}
 }
--- a/edge/service.go
+++ b/edge/service.go
@@ -51,37 +51,33 @@
 		if hub == nil {
 			return status.Errorf(codes.InvalidArgument, "feed %q", name)
 		}
-		subscriber := hub.subscribe()
+		subscriber, err := hub.subscribe()
+		if err != nil {
+			return status.Error(codes.Internal, err.Error())
+		}
 		if subscriber == nil {
 			return status.Error(codes.Unavailable, "this host does not read the store")
 		}
 		sources = append(sources, source{hub, subscriber})
-		go forwardUpdates(stream.Context(), name, subscriber, merged)
+		go forwardUpdates(stream.Context(), subscriber, merged)
 	}
 	return sendUpdates(stream, merged, s.host.stopped)
 }
 
-// forwardUpdates encodes a subscriber's updates until it is cut off; a nil
-// update says that it was.
-func forwardUpdates(ctx context.Context, name string, s *subscriber, merged chan<- *edgepb.FeedUpdate) {
-	put := func(u *edgepb.FeedUpdate) bool {
+// forwardUpdates merges a subscriber's updates with those of others until it is
+// cut off, which a nil update says.
+func forwardUpdates(ctx context.Context, s *subscriber, merged chan<- *edgepb.FeedUpdate) {
+	for {
+		update := <-s.updates
 		select {
-		case merged <- u:
-			return true
+		case merged <- update:
 		case <-ctx.Done():
-			return false
-		}
-	}
-	for u := range s.updates {
-		changes, err := platform.EncodeChanges(u.Changes)
-		if err != nil {
-			break
+			return
 		}
-		if !put(&edgepb.FeedUpdate{Feed: name, Reset_: u.Reset, Base: u.Base, Revision: u.Revision, Changes: changes}) {
+		if update == nil {
 			return
 		}
 	}
-	put(nil)
 }
 
 func sendUpdates(stream grpc.ServerStreamingServer[edgepb.FeedUpdate], merged <-chan *edgepb.FeedUpdate, stopped <-chan struct{}) error {
@@ -106,6 +102,22 @@
 	}
 }
 
+// Snapshot implements edgepb.EdgeServer.
+func (s *service) Snapshot(_ context.Context, r *edgepb.SnapshotRequest) (*edgepb.FeedUpdate, error) {
+	hub := s.host.registry.hubs[r.Feed]
+	if hub == nil {
+		return nil, status.Errorf(codes.InvalidArgument, "feed %q", r.Feed)
+	}
+	update, err := hub.snapshot()
+	switch {
+	case err != nil:
+		return nil, status.Error(codes.Internal, err.Error())
+	case update == nil:
+		return nil, status.Error(codes.Unavailable, "not known yet")
+	}
+	return update, nil
+}
+
 // Run implements edgepb.EdgeServer.
 func (s *service) Run(ctx context.Context, r *edgepb.RunRequest) (*edgepb.RunReply, error) {
 	declined := &edgepb.RunReply{Declined: true}
@@ -113,7 +125,8 @@
 		return declined, nil
 	}
 	request := decodeRun(r)
-	arrived := time.Now().Add(-time.Duration(r.SpentUs) * time.Microsecond)
+	started := time.Now()
+	arrived := started.Add(-time.Duration(r.SpentUs) * time.Microsecond)
 	answer, left := s.host.front.ask(ctx, request, scatter.Arrived{At: arrived, FromHost: true, AllowStale: r.AllowStale})
 	switch {
 	case left:
@@ -122,5 +135,8 @@
 		return declined, nil
 	}
 	reply := platform.Render(request, answer)
-	return &edgepb.RunReply{Status: int32(reply.Status), Headers: encodeHeaders(reply.Header), Body: reply.Body}, nil
+	return &edgepb.RunReply{
+		Status: int32(reply.Status), Headers: encodeHeaders(reply.Header), Body: reply.Body,
+		TookUs: time.Since(started).Microseconds(),
+	}, nil
 }
