Registry: a store that forgets a watch is noticed within the time of contact

Cause: two ways in which a host learned of a version too late. A reader whose watch had failed went on with watches of 4 s and a time-out of 5.2 s while the store was silent, so that it noticed the store's return up to 5 s late. A watch that the store dropped without closing its connection (history forgotten) hung for 5.2 s. Change: calls are short while the store does not answer; a watch ends within three quarters of the time of contact that the platform names; readers follow others while their own reading fails. Also: an entry host that reaches nobody refuses instead of declining (found by its new test), the budget counts requests in the least favourable window (found by a property test), tests of the core. Ruled out: the streams between hosts, which passed each version on in 10 ms.

--- a/core/scatter/budget.go
+++ b/core/scatter/budget.go
@@ -1,6 +1,9 @@
 package scatter
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // extraBudget bounds the repeated sends to one service over a sliding window.
 // Every host holds a share: the ratio of the requests that it took itself, and
@@ -55,6 +58,22 @@
 	return total
 }
 
+// counted returns how many requests count for extra sends that end now, in the
+// least favourable placement of their window. Those count that came in the
+// window, in the one before it or in the one that begins half a window earlier,
+// whichever has most; buckets that are only partly inside are left out.
+func (w *window) counted(now time.Time, buckets int) int {
+	least := math.MaxInt
+	for start := range buckets + 1 { // the window began so many buckets ago
+		half := max(0, start-buckets/2+1)
+		within := w.sum(now, 0, start)
+		before := w.sum(now, start+1, buckets-1)
+		between := w.sum(now, half, start+buckets/2-half)
+		least = min(least, max(within, before, between))
+	}
+	return least
+}
+
 // ExtraLimits are the tier's bounds on repeated sends to one service.
 type ExtraLimits struct {
 	// Ratio of the requests, plus Allowance, may be sent again within Window.
@@ -64,12 +83,12 @@
 }
 
 // allows says whether one more repeated send stays within this host's share.
-// Extra sends are counted over one bucket more than the window, requests over
-// one less, so that no placement of the window exceeds the limit.
+// Extra sends are counted over one bucket more than the window, so that no
+// placement of it holds more.
 func (b *extraBudget) allows(now time.Time, limits ExtraLimits, allowanceShare float64) bool {
 	buckets := max(2, int(limits.Window/bucketWidth))
 	spent := b.extras.sum(now, 0, buckets+1)
-	requests := b.requests.sum(now, 0, buckets-1)
+	requests := b.requests.counted(now, buckets)
 	share := limits.Ratio*float64(requests) + limits.Allowance*allowanceShare
 	return float64(spent+1) <= budgetMargin*share
 }
--- /dev/null
+++ b/core/scatter/gather_test.go
@@ -0,0 +1,202 @@
+package scatter_test
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+func TestGatherAnswersOnceAllPartsAreIn(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 8)
+	call := r.ask(gatherPath + "x")
+	r.run(50 * ms)
+	a := r.want(call, scatter.Gathered)
+	if len(a.Parts) != 8 || a.Missing != 0 || a.Top != 10 || r.answered[call].Sub(epoch) != 5*ms {
+		t.Errorf("got %d parts, %d missing after %v", len(a.Parts), a.Missing, r.answered[call].Sub(epoch))
+	}
+}
+
+// TestGatherHedgesAroundAPause replays one upstream that stands still for
+// 150 ms while its twin does not.
+func TestGatherHedgesAroundAPause(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 8)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.ID == "shard03-a" || s.Target.ID == "shard05-b" {
+			return 150 * ms, scatter.Succeeded
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	for range 5 {
+		call := r.ask(gatherPath + "x")
+		r.run(200 * ms)
+		a := r.want(call, scatter.Gathered)
+		if a.Missing != 0 {
+			t.Errorf("%d parts are missing though their twins answer", a.Missing)
+		}
+	}
+}
+
+// TestGatherAnswersWithPartsAtHand replays a shard whose upstreams all stand
+// still: the answer leaves before the target without it.
+func TestGatherAnswersWithPartsAtHand(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 8)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.Service == "shard03" {
+			return 300 * ms, scatter.Succeeded
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	call := r.ask(gatherPath + "x")
+	r.run(time.Second)
+	a := r.want(call, scatter.Gathered)
+	if took := r.answered[call].Sub(epoch); a.Missing != 1 || took != 90*ms {
+		t.Errorf("%d missing after %v, want 1 after 90ms", a.Missing, took)
+	}
+}
+
+// TestGatherBelowCoverageWaitsOn: an answer that may not go out at the target
+// goes out as soon as it may, though late.
+func TestGatherBelowCoverageWaitsOn(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 8)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.Service >= "shard03" && s.Target.Service <= "shard07" {
+			return 300 * ms, scatter.Succeeded
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	call := r.ask(gatherPath + "x")
+	r.run(time.Second)
+	if a := r.want(call, scatter.Gathered); len(a.Parts) < 6 {
+		t.Errorf("answered with %d of 8 parts, 6 are needed", len(a.Parts))
+	}
+}
+
+func TestGatherThatCannotReachCoverageIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.step(scatter.UpstreamRemoved{ID: "shard00-a"})
+	r.step(scatter.UpstreamRemoved{ID: "shard00-b"})
+	for _, id := range []core.UpstreamID{"shard01-a", "shard01-b"} {
+		r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: id, Service: "shard01", Domain: "d1", Address: "10.0.0.1:1", Draining: true}})
+	}
+	call := r.ask(gatherPath + "x")
+	a := r.want(call, scatter.Refused)
+	if len(r.sends) != 0 || a.RetryAfter <= 0 || a.RetryAfter > 800*ms/3 {
+		t.Errorf("%d sends, retry after %v", len(r.sends), a.RetryAfter)
+	}
+}
+
+func TestGatherPinsItsVersion(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) { return 40 * ms, scatter.Succeeded }
+	call := r.ask(gatherPath + "x")
+	r.configure(2, 6)
+	r.run(200 * ms)
+	if a := r.want(call, scatter.Gathered); len(a.Parts)+a.Missing != 4 {
+		t.Errorf("%d parts and %d missing do not make up the set of version 1", len(a.Parts), a.Missing)
+	}
+}
+
+func TestCallerGoneCancelsWhatMayBeRepeated(t *testing.T) {
+	for path, want := range map[string]int{gatherPath: 8, orderPath: 0} {
+		r := newRig(t)
+		r.configure(1, 8)
+		r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 500 * ms, scatter.Lost }
+		call := r.ask(path)
+		r.run(10 * ms)
+		r.step(scatter.CallerGone{Call: call})
+		r.run(time.Second)
+		if _, answered := r.answers[call]; answered || len(r.cancels) != want {
+			t.Errorf("%s: %d cancels, answered %v; want %d and no answer", path, len(r.cancels), answered, want)
+		}
+		if r.engine.Running() != 0 {
+			t.Errorf("%s: %d calls are left", path, r.engine.Running())
+		}
+	}
+}
+
+// TestTopRecordsMatchesSorting compares the bounded merge with sorting
+// everything.
+func TestTopRecordsMatchesSorting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 3), 0, 100), 1, 6).Draw(t, "parts")
+		top := rapid.IntRange(0, 12).Draw(t, "top")
+		var all [][]byte
+		for _, part := range parts {
+			for ; len(part) >= scatter.RecordSize; part = part[scatter.RecordSize:] {
+				all = append(all, part[:scatter.RecordSize])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(top, len(all))], nil)
+		if got := scatter.TopRecords(parts, top); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+func TestRouteWithTheLongestPrefix(t *testing.T) {
+	routes := []*scatter.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}
+	c := scatter.NewConfig(1, routes, nil, scatter.CallerLimits{})
+	for _, tt := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example:80", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/", "other"},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if route := c.Match(tt.host, tt.path); route != nil {
+			got = route.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s: got %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+func TestMinParts(t *testing.T) {
+	for _, tt := range []struct {
+		shards   int
+		coverage float64
+		want     int
+	}{{20, 0.89, 18}, {20, 0.75, 15}, {90, 0.95, 86}, {10, 0.7, 7}, {4, 0, 1}, {3, 1, 3}} {
+		route := scatter.Route{Shards: make([]core.ServiceID, tt.shards), MinCoverage: tt.coverage}
+		if got := route.MinParts(); got != tt.want {
+			t.Errorf("%d shards at %g: got %d, want %d", tt.shards, tt.coverage, got, tt.want)
+		}
+	}
+}
+
+func TestDecisionsNameTheRequest(t *testing.T) {
+	r := newRig(t)
+	r.configure(7, 2)
+	r.ask(gatherPath)
+	r.run(50 * ms)
+	for _, n := range r.notes {
+		if n.Decision == scatter.DecisionAnswer {
+			if n.RequestID != "request-1" || n.Version != 7 || n.Route != "gather" || !strings.Contains(n.Detail, "gathered") {
+				t.Errorf("got %+v", n)
+			}
+			return
+		}
+	}
+	t.Error("no note of the answer")
+}
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -98,7 +98,7 @@
 
 func (e *Engine) tryHandover(now time.Time, h *handover) {
 	p := e.pickPeer(now, h)
-	if p == nil && !h.stale && len(h.tried) < handoverTries {
+	if p == nil && !h.stale {
 		// Nobody has confirmed news: what they know has to do.
 		h.stale, h.tried = true, map[core.HostID]bool{}
 		p = e.pickPeer(now, h)
@@ -121,7 +121,7 @@
 	delete(e.handovers, h.arrived.Call)
 	e.aloneUntil = now.Add(aloneFor)
 	a := h.arrived
-	a.FromHost = true
+	a.FromHost, a.AllowStale = true, true
 	e.arrive(now, a)
 }
 
--- /dev/null
+++ b/core/scatter/handover_test.go
@@ -0,0 +1,186 @@
+package scatter_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// weakHost makes the rig's host one of a tier with two strong hosts.
+func weakHost(r *rig) {
+	hosts := []scatter.Host{
+		{ID: "host-1", Domain: "d1", Power: 0.1},
+		{ID: "strong-1", Domain: "d1", Power: 1},
+		{ID: "strong-2", Domain: "d2", Power: 1},
+	}
+	// Enough weak hosts that others stand by.
+	for i := range 40 {
+		hosts = append(hosts, scatter.Host{ID: core.HostID(fmt.Sprint("weak-", i)), Domain: core.DomainID(fmt.Sprint("d", 1+i%5)), Power: 0.1})
+	}
+	r.step(scatter.HostsSeen{Hosts: hosts})
+	if r.engine.Role() != scatter.Entry {
+		r.t.Fatalf("the host is a %v", r.engine.Role())
+	}
+}
+
+func TestWeakHostHandsOver(t *testing.T) {
+	r := newRig(t)
+	weakHost(r)
+	r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return 10 * ms, scatter.Succeeded }
+	call := r.ask(gatherPath)
+	r.run(50 * ms)
+	if a := r.want(call, scatter.PassedOn); a.Payload != "strong-1" {
+		t.Errorf("answered by %v, want the strong host of the same failure domain", a.Payload)
+	}
+	if r.engine.Active(r.now) || !r.engine.Serves() {
+		t.Error("a weak host needs no upstreams to serve")
+	}
+}
+
+// TestHandoverOutcomes is the table of what follows when the first host brings
+// no answer.
+func TestHandoverOutcomes(t *testing.T) {
+	for _, tt := range []struct {
+		first scatter.Outcome
+		asked int
+		want  scatter.AnswerKind
+	}{
+		{scatter.NotExecuted, 2, scatter.PassedOn},
+		{scatter.Unreached, 2, scatter.PassedOn},
+		{scatter.Lost, 1, scatter.UpstreamsFailed},
+	} {
+		r := newRig(t)
+		weakHost(r)
+		r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) {
+			if len(r.handovers) == 1 {
+				return ms, tt.first
+			}
+			return ms, scatter.Succeeded
+		}
+		call := r.ask(orderPath)
+		r.run(50 * ms)
+		r.want(call, tt.want)
+		if len(r.handovers) != tt.asked {
+			t.Errorf("%v: %d hosts were asked, want %d", tt.first, len(r.handovers), tt.asked)
+		}
+		next := r.ask(orderPath)
+		r.run(50 * ms)
+		if a := r.want(next, scatter.PassedOn); a.Payload != "strong-2" {
+			t.Errorf("%v: the next request went to %v again at once", tt.first, a.Payload)
+		}
+	}
+}
+
+// TestStaleHostsAreTheLastResort: while no host can confirm what it knows, what
+// they know has to do.
+func TestStaleHostsAreTheLastResort(t *testing.T) {
+	r := newRig(t)
+	weakHost(r)
+	r.peer = func(h scatter.Handover) (time.Duration, scatter.Outcome) {
+		if !h.AllowStale {
+			return ms, scatter.NotExecuted
+		}
+		return ms, scatter.Succeeded
+	}
+	for range 3 {
+		call := r.ask(gatherPath)
+		r.run(20 * ms)
+		r.want(call, scatter.PassedOn)
+	}
+	able := 2 + 4 // strong hosts and standbys
+	if len(r.handovers) != able+3 {
+		t.Errorf("%d hosts were asked; once declined, they are not asked for confirmed news again at once", len(r.handovers))
+	}
+}
+
+// TestStaleHostDeclines: a host that lost the registry leaves requests of
+// others to hosts that may know better, but serves its own callers.
+func TestStaleHostDeclines(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 2)
+	r.step(scatter.StoreReachable{Reachable: false})
+	r.run(2 * time.Second)
+	r.want(r.arrive(scatter.Arrived{Path: gatherPath, FromHost: true}), scatter.Declined)
+	own := r.ask(gatherPath)
+	stale := r.arrive(scatter.Arrived{Path: gatherPath, FromHost: true, AllowStale: true})
+	r.run(50 * ms)
+	r.want(own, scatter.Gathered)
+	r.want(stale, scatter.Gathered)
+	r.step(scatter.StoreReachable{Reachable: true})
+	fresh := r.arrive(scatter.Arrived{Path: gatherPath, FromHost: true})
+	r.run(50 * ms)
+	r.want(fresh, scatter.Gathered)
+}
+
+// TestHostThatReachesNobodyActsAlone: it refuses until it knows the upstreams,
+// and then sends to them itself.
+func TestHostThatReachesNobodyActsAlone(t *testing.T) {
+	r := newRig(t)
+	weakHost(r)
+	r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return ms, scatter.Unreached }
+	first := r.ask(gatherPath)
+	r.run(20 * ms)
+	r.want(first, scatter.Refused)
+	if !r.engine.Active(r.now) {
+		t.Fatal("the host does not ask to learn the upstreams")
+	}
+	r.configure(1, 4)
+	second := r.ask(gatherPath)
+	r.run(50 * ms)
+	r.want(second, scatter.Gathered)
+}
+
+func TestSilentHostRests(t *testing.T) {
+	r := newRig(t)
+	weakHost(r)
+	r.peer = func(h scatter.Handover) (time.Duration, scatter.Outcome) {
+		if h.To.ID == "strong-1" {
+			return time.Hour, scatter.Lost
+		}
+		return ms, scatter.Succeeded
+	}
+	call := r.ask(gatherPath)
+	r.run(1100 * ms)
+	r.want(call, scatter.TimedOut)
+	next := r.ask(gatherPath)
+	r.run(50 * ms)
+	if a := r.want(next, scatter.PassedOn); a.Payload != "strong-2" {
+		t.Errorf("the next request went to %v", a.Payload)
+	}
+}
+
+// TestRankIsTheSameEverywhere: hosts that learned of each other in another
+// order agree, and the first ranks are strong hosts of different failure
+// domains.
+func TestRankIsTheSameEverywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 5).Draw(t, "domains")
+		var hosts []scatter.Host
+		for i := range rapid.IntRange(1, 40).Draw(t, "hosts") {
+			power := rapid.SampledFrom([]float64{0.2, 0.8}).Draw(t, "power")
+			hosts = append(hosts, scatter.Host{ID: core.HostID(fmt.Sprint("h", i)), Domain: core.DomainID(fmt.Sprint("d", i%domains)), Power: power})
+		}
+		want, strong := scatter.RankHosts(slices.Clone(hosts))
+		shuffled := rapid.Permutation(hosts).Draw(t, "order")
+		if got, _ := scatter.RankHosts(shuffled); !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		strongDomains := map[core.DomainID]bool{}
+		for _, h := range want[:strong] {
+			strongDomains[h.Domain] = true
+		}
+		first := map[core.DomainID]bool{}
+		for _, h := range want[:len(strongDomains)] {
+			first[h.Domain] = true
+		}
+		if len(first) != len(strongDomains) {
+			t.Fatalf("the first %d ranks lie in %d failure domains", len(strongDomains), len(first))
+		}
+	})
+}
--- /dev/null
+++ b/core/scatter/rig_test.go
@@ -0,0 +1,203 @@
+package scatter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/core/schedule"
+)
+
+const ms = time.Millisecond
+
+// rig drives one engine under virtual time against upstreams whose behaviour
+// the test chooses.
+type rig struct {
+	t      *testing.T
+	now    time.Time
+	engine *scatter.Engine
+	later  schedule.Timers[func()]
+	calls  core.CallID
+
+	// serve says how an upstream answers a send; nil answers after 5 ms.
+	serve func(s scatter.Send) (after time.Duration, outcome scatter.Outcome)
+	// peer says how a host answers a handover.
+	peer func(h scatter.Handover) (after time.Duration, outcome scatter.Outcome)
+
+	sends     []scatter.Send
+	sentAt    []time.Time
+	handovers []scatter.Handover
+	cancels   []scatter.Cancel
+	answers   map[core.CallID]scatter.Answer
+	answered  map[core.CallID]time.Time
+	notes     []scatter.Note
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func newRig(t *testing.T) *rig {
+	r := &rig{
+		t: t, now: epoch,
+		answers: map[core.CallID]scatter.Answer{}, answered: map[core.CallID]time.Time{},
+	}
+	random := uint32(1)
+	r.engine = scatter.New(scatter.Options{
+		Self: "host-1", Domain: "d1",
+		Extra:        scatter.ExtraLimits{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
+		AnswerMargin: 10 * ms,
+		Hosts:        1,
+		Random: func() float64 {
+			random = random*1664525 + 1013904223
+			return float64(random>>8) / (1 << 24)
+		},
+	})
+	r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Power: 1}}})
+	return r
+}
+
+// step hands the engine one event and carries out what it decides.
+func (r *rig) step(event scatter.Event) {
+	var out scatter.Actions
+	r.engine.Step(r.now, event, &out)
+	r.notes = append(r.notes, out.Notes...)
+	r.cancels = append(r.cancels, out.Cancels...)
+	for _, a := range out.Answers {
+		if _, twice := r.answers[a.Call]; twice {
+			r.t.Errorf("call %d was answered twice", a.Call)
+		}
+		r.answers[a.Call], r.answered[a.Call] = a, r.now
+	}
+	for _, s := range out.Sends {
+		r.sends = append(r.sends, s)
+		r.sentAt = append(r.sentAt, r.now)
+		after, outcome := 5*ms, scatter.Succeeded
+		if r.serve != nil {
+			after, outcome = r.serve(s)
+		}
+		replied := scatter.Replied{Attempt: s.Attempt, Outcome: outcome, Payload: string(s.Target.ID)}
+		r.later.Add(r.now.Add(after), func() { r.step(replied) })
+	}
+	for _, h := range out.Handovers {
+		r.handovers = append(r.handovers, h)
+		after, outcome := r.peer(h)
+		r.later.Add(r.now.Add(after), func() {
+			r.step(scatter.HandoverEnded{Call: h.Call, To: h.To.ID, Outcome: outcome, Payload: string(h.To.ID)})
+		})
+	}
+}
+
+// run lets virtual time pass.
+func (r *rig) run(d time.Duration) {
+	end := r.now.Add(d)
+	for {
+		next, due := r.later.Next(), r.engine.Next()
+		if next.IsZero() || !due.IsZero() && due.Before(next) {
+			next = due
+		}
+		if next.IsZero() || next.After(end) {
+			break
+		}
+		if next.After(r.now) {
+			r.now = next
+		}
+		if fire, ready := r.later.Pop(r.now); ready {
+			fire()
+		} else {
+			r.step(scatter.Tick{})
+		}
+	}
+	r.now = end
+}
+
+// ask puts a request on a path.
+func (r *rig) ask(path string) core.CallID {
+	return r.arrive(scatter.Arrived{Path: path, Budget: time.Second})
+}
+
+func (r *rig) arrive(a scatter.Arrived) core.CallID {
+	r.calls++
+	a.Call, a.Host, a.At = r.calls, "h.example", r.now
+	a.RequestID = fmt.Sprint("request-", r.calls)
+	if a.Question == (core.Fingerprint{}) {
+		a.Question = core.FingerprintOf([]byte(a.RequestID))
+	}
+	r.step(a)
+	return r.calls
+}
+
+func (r *rig) want(call core.CallID, kind scatter.AnswerKind) scatter.Answer {
+	r.t.Helper()
+	a, found := r.answers[call]
+	if !found {
+		r.t.Fatalf("call %d has no answer; want %v", call, kind)
+	}
+	if a.Kind != kind {
+		r.t.Fatalf("call %d: %v, want %v", call, a.Kind, kind)
+	}
+	return a
+}
+
+func (r *rig) sentTo(id core.UpstreamID) int {
+	count := 0
+	for _, s := range r.sends {
+		if s.Target.ID == id {
+			count++
+		}
+	}
+	return count
+}
+
+// The routes of the test configuration: a gather over shards, a request that
+// may be repeated, one that may not, and one that is split.
+const (
+	gatherPath = "/gather/"
+	fetchPath  = "/fetch/"
+	orderPath  = "/order/"
+	splitPath  = "/split/"
+)
+
+// configure puts a configuration with a number of shards in force, each with
+// two upstreams named shard-a and shard-b.
+func (r *rig) configure(version uint64, shards int) {
+	services := map[core.ServiceID]scatter.Service{}
+	add := func(id core.ServiceID) { services[id] = scatter.Service{ID: id, Connections: 24} }
+	gather := &scatter.Route{
+		Name: "gather", Host: "h.example", Prefix: gatherPath, Repeatable: true, Timeout: 800 * ms, Target: 100 * ms,
+		Priority: 1, MaxUpstreams: 2, TopRecords: 10, MinCoverage: 0.75,
+	}
+	var upstreams []scatter.Upstream
+	for i := range shards {
+		id := core.ServiceID(fmt.Sprintf("shard%02d", i))
+		add(id)
+		gather.Shards = append(gather.Shards, id)
+		upstreams = append(upstreams, pair(id)...)
+	}
+	plain := func(name, prefix string, repeatable bool, targets ...scatter.Target) *scatter.Route {
+		return &scatter.Route{
+			Name: name, Host: "h.example", Prefix: prefix, Repeatable: repeatable, Timeout: 800 * ms, Target: 200 * ms,
+			Priority: 2, MaxUpstreams: 2, Targets: targets,
+		}
+	}
+	for _, id := range []core.ServiceID{"files", "orders"} {
+		add(id)
+		upstreams = append(upstreams, pair(id)...)
+	}
+	routes := []*scatter.Route{
+		gather,
+		plain("fetch", fetchPath, true, scatter.Target{Service: "files", Weight: 1}),
+		plain("order", orderPath, false, scatter.Target{Service: "orders", Weight: 1}),
+		plain("split", splitPath, true, scatter.Target{Service: "files", Weight: 3}, scatter.Target{Service: "orders", Weight: 1}),
+	}
+	r.step(scatter.UpstreamsListed{Upstreams: upstreams})
+	r.step(scatter.ConfigSeen{Config: scatter.NewConfig(version, routes, services, scatter.CallerLimits{})})
+}
+
+func pair(service core.ServiceID) []scatter.Upstream {
+	one := func(suffix string, domain core.DomainID) scatter.Upstream {
+		id := core.UpstreamID(string(service) + "-" + suffix)
+		return scatter.Upstream{ID: id, Service: service, Domain: domain, Address: "10.0.0.1:1", Slots: 2}
+	}
+	return []scatter.Upstream{one("a", "d1"), one("b", "d2")}
+}
--- /dev/null
+++ b/core/scatter/single_test.go
@@ -0,0 +1,205 @@
+package scatter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// TestAtMostOnce is the table of what may be sent again and what the answer
+// may promise, by the outcome of the first attempt.
+func TestAtMostOnce(t *testing.T) {
+	for _, tt := range []struct {
+		path    string
+		first   scatter.Outcome
+		sends   int
+		answers scatter.AnswerKind
+	}{
+		{orderPath, scatter.Succeeded, 1, scatter.PassedOn},
+		{orderPath, scatter.Failed, 1, scatter.PassedOn},
+		{orderPath, scatter.Lost, 1, scatter.UpstreamsFailed},
+		{orderPath, scatter.NotExecuted, 2, scatter.PassedOn},
+		{orderPath, scatter.WrongInstance, 2, scatter.PassedOn},
+		{orderPath, scatter.Unreached, 2, scatter.PassedOn},
+		{fetchPath, scatter.Failed, 2, scatter.PassedOn},
+		{fetchPath, scatter.Lost, 2, scatter.PassedOn},
+		{fetchPath, scatter.NotExecuted, 2, scatter.PassedOn},
+	} {
+		r := newRig(t)
+		r.configure(1, 1)
+		r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+			if len(r.sends) == 1 {
+				return 5 * ms, tt.first
+			}
+			return 5 * ms, scatter.Succeeded
+		}
+		call := r.ask(tt.path)
+		r.run(time.Second)
+		a := r.want(call, tt.answers)
+		if len(r.sends) != tt.sends || a.Kind != tt.answers {
+			t.Errorf("%s after %v: %d sends, want %d", tt.path, tt.first, len(r.sends), tt.sends)
+		}
+		if len(r.sends) == 2 && r.sends[0].Target.ID == r.sends[1].Target.ID {
+			t.Errorf("%s after %v: sent to the same upstream again", tt.path, tt.first)
+		}
+	}
+}
+
+// TestRefusalIsTrue: what is refused has been shed by each upstream, and never
+// runs later.
+func TestRefusalIsTrue(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 2 * ms, scatter.NotExecuted }
+	call := r.ask(orderPath)
+	r.run(time.Second)
+	a := r.want(call, scatter.Refused)
+	sends := len(r.sends)
+	r.run(5 * time.Second)
+	if len(r.sends) != sends || a.RetryAfter <= 0 {
+		t.Errorf("%d sends, then %d; retry after %v", sends, len(r.sends), a.RetryAfter)
+	}
+}
+
+func TestNothingIsSentToUpstreamsThatLeave(t *testing.T) {
+	leave := map[string]func(r *rig){
+		"draining": func(r *rig) {
+			r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: "files-a", Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 2, Draining: true}})
+		},
+		"removed":    func(r *rig) { r.step(scatter.UpstreamRemoved{ID: "files-a"}) },
+		"domain out": func(r *rig) { r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{"d1": true}}) },
+	}
+	for name, apply := range leave {
+		r := newRig(t)
+		r.configure(1, 1)
+		apply(r)
+		for range 20 {
+			r.ask(fetchPath)
+			r.run(20 * ms)
+		}
+		if r.sentTo("files-a") != 0 || r.sentTo("files-b") != 20 {
+			t.Errorf("%s: %d requests went to it, %d to its twin", name, r.sentTo("files-a"), r.sentTo("files-b"))
+		}
+	}
+}
+
+// TestLapsedEntriesAreKeptForAWhile replays a registry that comes back without
+// the entries of upstreams that live: all vanish, and return within 2 s or are
+// gone.
+func TestLapsedEntriesAreKeptForAWhile(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.step(scatter.StoreReachable{Reachable: false})
+	r.run(4 * time.Second)
+	r.step(scatter.StoreReachable{Reachable: true})
+	r.step(scatter.UpstreamsListed{})
+	call := r.ask(gatherPath)
+	r.run(1500 * ms)
+	r.want(call, scatter.Gathered)
+	for _, u := range pair("files") {
+		r.step(scatter.UpstreamSeen{Upstream: u})
+	}
+	r.run(time.Second)
+	r.want(r.ask(gatherPath), scatter.Refused)
+	back := r.ask(fetchPath)
+	r.run(50 * ms)
+	r.want(back, scatter.PassedOn)
+}
+
+// TestConfigurationNeverGoesBack: a stale reader's version is ignored.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := newRig(t)
+	r.configure(5, 2)
+	r.configure(4, 8)
+	if r.engine.Version() != 5 {
+		t.Errorf("version %d is in force", r.engine.Version())
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	for range 400 {
+		r.ask(splitPath)
+		r.run(20 * ms)
+	}
+	files := r.sentTo("files-a") + r.sentTo("files-b")
+	if files != 300 {
+		t.Errorf("%d of 400 requests went to the service with three quarters of the weight", files)
+	}
+}
+
+// TestQuestionOfDeathIsQuarantined: a question that two upstreams were lost
+// over is not sent to a third one, whoever asks it.
+func TestQuestionOfDeathIsQuarantined(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 2 * ms, scatter.Lost }
+	question := core.FingerprintOf([]byte("deadly"))
+	first := r.arrive(scatter.Arrived{Path: fetchPath, Question: question})
+	r.run(100 * ms)
+	r.want(first, scatter.UpstreamsFailed)
+	sends := len(r.sends)
+	r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: question}), scatter.Refused)
+	if sends != 2 || len(r.sends) != sends {
+		t.Errorf("%d sends, then %d", sends, len(r.sends))
+	}
+	r.run(40 * time.Second)
+	r.arrive(scatter.Arrived{Path: fetchPath, Question: question})
+	if len(r.sends) == sends {
+		t.Error("the quarantine has no end")
+	}
+}
+
+// TestColdUpstreamGetsNoMoreThanItBears counts sends to a cold upstream, second
+// by second, while its service has no other.
+func TestColdUpstreamGetsNoMoreThanItBears(t *testing.T) {
+	const rate = 4.0
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.ConfigSeen{Config: scatter.NewConfig(2, []*scatter.Route{{
+		Name: "fetch", Host: "h.example", Prefix: fetchPath, Repeatable: true, Timeout: 800 * ms, Target: 200 * ms,
+		MaxUpstreams: 2, Targets: []scatter.Target{{Service: "files", Weight: 1}},
+	}}, map[core.ServiceID]scatter.Service{"files": {ID: "files", Connections: 24, ColdRate: rate}}, scatter.CallerLimits{})})
+	r.step(scatter.UpstreamRemoved{ID: "files-b"})
+	r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{
+		ID: "files-a", Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 2, Started: 7, ColdFor: 3 * time.Second,
+	}})
+	for range 300 {
+		r.ask(fetchPath)
+		r.run(10 * ms)
+	}
+	for i, from := range r.sentAt {
+		count := 0
+		for _, at := range r.sentAt[i:] {
+			if at.Sub(from) < time.Second {
+				count++
+			}
+		}
+		if float64(count) > rate+1 {
+			t.Fatalf("%d requests within a second reached an upstream that bears %g", count, rate)
+		}
+	}
+	if len(r.sends) < 8 {
+		t.Errorf("only %d requests in 3 s", len(r.sends))
+	}
+}
+
+// TestDeadlineEndsARequest: a request that runs past its route's timeout gets
+// its final answer then, which promises nothing.
+func TestDeadlineEndsARequest(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 3 * time.Second, scatter.Succeeded }
+	call := r.ask(orderPath)
+	r.run(2 * time.Second)
+	r.want(call, scatter.TimedOut)
+	if took := r.answered[call].Sub(epoch); took != 800*ms {
+		t.Errorf("answered after %v", took)
+	}
+	if deadline := r.sends[0].Deadline.Sub(epoch); deadline != 800*ms {
+		t.Errorf("the upstream got until %v", deadline)
+	}
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -74,6 +74,7 @@
 	log     zerolog.Logger
 	self    scatter.Host
 	seeds   []string
+	contact time.Duration // see HostSettings.Contact
 	hubs    map[string]*hub
 	hosts   *hub
 	// firstStart says that all hosts start for the first time.
@@ -291,6 +292,17 @@
 	}
 }
 
+// readsStore says whether this host's own reading of the store works, for all
+// feeds.
+func (r *registry) readsStore() bool {
+	for _, hub := range r.hubs {
+		if !hub.reads() {
+			return false
+		}
+	}
+	return true
+}
+
 // setUp counts the streams that are up.
 func (r *registry) setUp(up bool, feeds []string) {
 	if up {
@@ -319,7 +331,9 @@
 // followShape is what decides which streams to keep.
 type followShape struct {
 	active bool
-	first  [candidates]scatter.Host
+	// reading says that this host's own reading of the store works.
+	reading bool
+	first   [candidates]scatter.Host
 }
 
 // adjust starts and ends duties as the plan and the other hosts require.
@@ -333,12 +347,15 @@
 	case w.settled.IsZero():
 		w.settled = time.Now()
 	}
+	if p.reads() && w.store == nil {
+		w.readStore(ctx)
+	}
 	w.adjustFollowers(ctx, p)
 	sinceFollowed := time.Since(r.started) - time.Duration(r.lastFollow.Load())
 	alone := !following && sinceFollowed > aloneAfter+time.Duration(p.rank())*aloneStagger
 	settled := following && time.Since(w.settled) > settledAfter
 	switch {
-	case w.store == nil && p.active && (p.reads() || alone):
+	case w.store == nil && p.active && alone:
 		w.readStore(ctx)
 	case w.store != nil && !p.reads() && (settled || !p.active):
 		w.store()
@@ -354,7 +371,7 @@
 const listHostsEvery = 15 * time.Second
 
 func (w *registryWork) adjustFollowers(ctx context.Context, p *plan) {
-	shape := followShape{active: p.active}
+	shape := followShape{active: p.active, reading: p.reads() && w.registry.readsStore()}
 	copy(shape.first[:], p.ranked)
 	if shape == w.shape {
 		return
@@ -370,7 +387,7 @@
 			others = append(others, h)
 		}
 	}
-	if p.reads() || len(others) == 0 {
+	if shape.reading || len(others) == 0 {
 		return
 	}
 	streams := min(followed, len(others))
@@ -416,7 +433,7 @@
 	storeCtx, cancel := context.WithCancel(ctx)
 	w.store = cancel
 	for _, hub := range w.registry.hubs {
-		reader := &storeReader{hub: hub, log: w.registry.log}
+		reader := &storeReader{hub: hub, contact: w.registry.contact, log: w.registry.log}
 		w.duties.Go(func() { reader.run(storeCtx) })
 	}
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -81,6 +81,7 @@
 	h.front = newFront(h.offer, h.meters)
 	self := scatter.Host{ID: place.Host, Domain: place.Domain, Address: place.Control, Power: place.Power}
 	h.registry = newRegistry(h.objects, h.peers, h.log, self, place.Seeds, h.deliver)
+	h.registry.contact = place.Contact
 	h.registry.firstStart = place.FirstStart
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -164,6 +164,13 @@
 	}
 }
 
+// reads says whether this host's own reading of the store works.
+func (h *hub) reads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.storeUp
+}
+
 // countSource notes that a source came up or went down.
 func (h *hub) countSource(up bool) {
 	h.mu.Lock()
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -12,12 +12,14 @@
 )
 
 const (
-	// watchWait is how long a watch waits in the store. A store that falls
-	// silent is noticed after this and watchSlack, well before the bound on
-	// new configurations.
-	watchWait = 4 * time.Second
-	// watchSlack is how much longer than its wait a watch may take.
-	watchSlack = 1200 * time.Millisecond
+	// watchWaitShare and watchSlackShare of the time after which the platform
+	// holds a host to its bounds are how long a watch waits in the store, and
+	// how much longer it may take. A watch that the store forgot is noticed
+	// after both.
+	watchWaitShare  = 0.5
+	watchSlackShare = 0.25
+	// probeWait is how long the first watch waits after one that failed.
+	probeWait = 20 * time.Millisecond
 	// batchChanges is the pause after changes, so that those that follow each
 	// other closely come with one call.
 	batchChanges = 200 * time.Millisecond
@@ -32,6 +34,7 @@
 // storeReader is the duty that reads one feed from the store.
 type storeReader struct {
 	hub      *hub
+	contact  time.Duration // see HostSettings.Contact
 	log      zerolog.Logger
 	up       bool
 	failures int
@@ -62,11 +65,17 @@
 	}
 }
 
+// next makes one call. While the store does not answer, calls are short, so
+// that its return is noticed soon.
 func (r *storeReader) next(ctx context.Context, listed bool, revision uint64) (platform.Update, error) {
 	if listed {
-		ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		wait := time.Duration(watchWaitShare * float64(r.contact))
+		if !r.up {
+			wait = probeWait
+		}
+		ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(watchSlackShare*float64(r.contact)))
 		defer cancel()
-		return r.hub.feed.Watch(ctx, revision, watchWait)
+		return r.hub.feed.Watch(ctx, revision, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
