--- a/api/operator/fault_test.go
+++ b/api/operator/fault_test.go
@@ -154,8 +154,10 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
-	h := newHost(stub.Fake(), client)
-	stub.Fake().SetFaults(platformfake.Faults{LoseReplies: 1})
+	h := newHost(platformfake.New(), client)
+	if err := stub.SetFaults(platformstub.Faults{LoseReplies: 1}); err != nil {
+		t.Fatal(err)
+	}
 	a := h.do("POST", "/apply", base, "X-Operation-Id: base")
 	if a.status != http.StatusOK || a.report.Generation != 1 {
 		t.Errorf("got %d %s", a.status, a.text)
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,290 @@
+package edge
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/standin/platformstub"
+	"github.com/samphirebeam/samphirebeam/standin/serverstub"
+)
+
+func hostID(name string) core.HostID     { return core.HostID(name) }
+func domainID(name string) core.DomainID { return core.DomainID(name) }
+func record(first byte) []byte           { return append([]byte{first}, make([]byte, 15)...) }
+func records(first ...byte) (part []byte) {
+	for _, b := range first {
+		part = append(part, record(b)...)
+	}
+	return part
+}
+
+// twoShards is a rig with two shards of two servers each and a server for
+// orders.
+func twoShards(t *testing.T) *rig {
+	r := newRig(t)
+	for _, id := range []string{"a1", "a2"} {
+		r.server("shard-a", id, serverstub.Config{Body: append(records(5, 9, 1), 7)})
+	}
+	for _, id := range []string{"b1", "b2"} {
+		r.server("shard-b", id, serverstub.Config{Body: records(8, 9)})
+	}
+	r.server("orders", "o1", serverstub.Config{Body: []byte("order taken"), Work: 5 * time.Millisecond})
+	r.configure("shard-a", "shard-a", "shard-b")
+	return r
+}
+
+func TestGatherMergesTheParts(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	got := h.ask("GET", "/gather/x?q=1", "id-1", "")
+	if got.err != nil || got.status != http.StatusOK || got.header.Get("Missing-Parts") != "0" {
+		t.Fatalf("got %+v", got)
+	}
+	if want := records(9, 9, 8); !bytes.Equal(got.body, want) {
+		t.Errorf("got %x, want %x", got.body, want)
+	}
+	stamps := strings.Split(got.header.Get("Part-Stamps"), ",")
+	if len(stamps) != 2 || !strings.HasSuffix(stamps[0], ".id-1") || !strings.HasSuffix(stamps[1], ".id-1") {
+		t.Errorf("signatures %v", stamps)
+	}
+}
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	body := strings.Repeat("photo", 1000)
+	got := h.ask("POST", "/order/7", "id-1", body)
+	if got.status != http.StatusOK || string(got.body) != "order taken" || got.header.Get("Server-Stamp") != "o1.id-1" || got.header.Get("X-Kept") != "yes" {
+		t.Errorf("got %+v", got)
+	}
+	if runs, received := r.servers["o1"].Runs("id-1"); runs != 1 || received != body {
+		t.Errorf("ran %d times with %d bytes", runs, len(received))
+	}
+	if got := h.ask("GET", "/none/", "id-2", ""); got.status != http.StatusNotFound {
+		t.Errorf("a path without a route: %d", got.status)
+	}
+}
+
+// TestServersThatMisbehave is the table of what a caller may get when the only
+// server of its service misbehaves.
+func TestServersThatMisbehave(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	for i, tt := range []struct {
+		name   string
+		fault  serverstub.Fault
+		runs   int
+		status int
+	}{
+		{"lost answer", serverstub.LoseAnswer, 1, http.StatusBadGateway},
+		{"truncated", serverstub.Truncate, 1, http.StatusBadGateway},
+		{"rubbish", serverstub.Rubbish, 1, http.StatusBadGateway},
+		{"unframed", serverstub.Unframed, 1, http.StatusOK},
+		{"extra answer", serverstub.Extra, 1, http.StatusOK},
+		{"failure", serverstub.Fail, 1, http.StatusInternalServerError},
+		{"shed", serverstub.Shed, 0, http.StatusServiceUnavailable},
+		{"forgets connections", serverstub.ForgetIdle, 1, http.StatusOK},
+		{"sound again", serverstub.Sound, 1, http.StatusOK},
+	} {
+		r.servers["o1"].SetFault(tt.fault)
+		for round := range 3 {
+			id := fmt.Sprintf("id-%d-%d", i, round)
+			got := h.ask("POST", "/order/7", id, "body")
+			if runs, _ := r.servers["o1"].Runs(id); got.status != tt.status || runs != tt.runs {
+				t.Errorf("%s: got %d %v after %d runs; want %d after %d", tt.name, got.status, got.err, runs, tt.status, tt.runs)
+			}
+			if got.status == http.StatusOK && got.header.Get("Server-Stamp") != "o1."+id {
+				t.Errorf("%s: an answer to another request: %v", tt.name, got.header)
+			}
+			time.Sleep(200 * time.Millisecond) // a resting server is asked again
+		}
+	}
+}
+
+// TestRepeatableRequestsGetAround has one of two servers misbehave in turn.
+func TestRepeatableRequestsGetAround(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	for i, fault := range []serverstub.Fault{
+		serverstub.LoseAnswer, serverstub.Truncate, serverstub.Rubbish, serverstub.Fail, serverstub.Shed, serverstub.Other,
+	} {
+		r.servers["a1"].SetFault(fault)
+		for round := range 5 {
+			id := fmt.Sprintf("id-%d-%d", i, round)
+			if got := h.ask("GET", "/gather/", id, ""); got.status != http.StatusOK || got.header.Get("Missing-Parts") != "0" {
+				t.Errorf("fault %d: got %d, %s missing", fault, got.status, got.header.Get("Missing-Parts"))
+			}
+		}
+	}
+}
+
+func TestEarlyAnswerDoesNotSpoilTheConnection(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	r.servers["o1"].SetFault(serverstub.Early)
+	h.ask("POST", "/order/7", "id-1", strings.Repeat("x", 1<<19))
+	r.servers["o1"].SetFault(serverstub.Sound)
+	time.Sleep(200 * time.Millisecond)
+	body := strings.Repeat("y", 100)
+	got := h.ask("POST", "/order/7", "id-2", body)
+	if runs, received := r.servers["o1"].Runs("id-2"); got.status != http.StatusOK || runs != 1 || received != body {
+		t.Errorf("got %d after %d runs with %d bytes", got.status, runs, len(received))
+	}
+}
+
+// TestChangesAreInForceSoon covers a version, a server that leaves and a
+// failure domain that is taken out.
+func TestChangesAreInForceSoon(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	r.register("shard-a", "a1", "draining")
+	eventually(t, func() error {
+		before := r.servers["a1"].Arrived()
+		for i := range 10 {
+			h.ask("GET", "/fetch/", fmt.Sprint("drain-", before, "-", i), "")
+		}
+		if after := r.servers["a1"].Arrived(); after != before {
+			return fmt.Errorf("%d requests reached a server that leaves", after-before)
+		}
+		return nil
+	})
+	r.configure("shard-b", "shard-b")
+	eventually(t, func() error {
+		if got := h.ask("GET", "/gather/", "", ""); len(strings.Split(got.header.Get("Part-Stamps"), ",")) != 1 {
+			return fmt.Errorf("the old set of shards: %v", got.header)
+		}
+		return nil
+	})
+	r.put("evacuations", "d1", map[string]any{})
+	eventually(t, func() error {
+		if got := h.ask("GET", "/gather/", "id", ""); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			return fmt.Errorf("got %d from a failure domain that is out", got.status)
+		}
+		return nil
+	})
+}
+
+// TestStoreTroubleDelaysChangesAtMostByTheTimeOfContact has the store fail in
+// each way while a version is written.
+func TestStoreTroubleDelaysChangesAtMostByTheTimeOfContact(t *testing.T) {
+	for name, faults := range map[string]platformstub.Faults{
+		"forgets watches": {ForgetWatches: true},
+		"silent":          {Silent: true},
+		"down":            {Down: true},
+		"busy":            {Busy: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := twoShards(t)
+			h := r.host("host-1", "d1", 1)
+			set := func(f platformstub.Faults) {
+				if err := r.store.SetFaults(f); err != nil {
+					t.Fatal(err)
+				}
+			}
+			set(faults)
+			time.Sleep(3 * contact)
+			r.configure("shard-b", "shard-b")
+			r.store.Compact()
+			set(platformstub.Faults{})
+			time.Sleep(contact)
+			if version := versionOf(h); version != 2 {
+				t.Errorf("version %d is in force %v after the store was back", version, contact)
+			}
+		})
+	}
+}
+
+func versionOf(h *running) (version uint64) {
+	h.decision.ask(func(e *scatter.Engine) { version = e.Version() })
+	return version
+}
+
+// TestEntriesOfOthersNameNoServer: what another program wrote is passed over,
+// and the entries beside it hold.
+func TestEntriesOfOthersNameNoServer(t *testing.T) {
+	r := twoShards(t)
+	r.put("servers", "x1", map[string]any{"service": "shard-a"})
+	r.put("servers", "x2", "not an entry")
+	r.put("servers", "x3", map[string]any{"service": 7, "address": "127.0.0.1:1"})
+	r.put("servers", "x4", map[string]any{
+		"service": "shard-a", "address": "nowhere", "zone": "d1", "version": "v1", "max_concurrency": 2,
+		"state": "asleep", "warmup_left_ms": 0, "sequence": 1,
+	})
+	h := r.host("host-1", "d1", 1)
+	for i := range 20 {
+		if got := h.ask("GET", "/gather/", fmt.Sprint("id-", i), ""); got.status != http.StatusOK || got.header.Get("Missing-Parts") != "0" {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	if !strings.Contains(h.log.String(), "entry_ignored") {
+		t.Error("the log does not say so")
+	}
+}
+
+// TestWeakHostHandsOver has a weak host answer through a strong one, and by
+// itself once that one is gone.
+func TestWeakHostHandsOver(t *testing.T) {
+	r := twoShards(t)
+	strong := r.host("strong", "d1", 1)
+	weak := r.host("weak", "d1", 0.1)
+	eventually(t, func() error {
+		if got := weak.ask("POST", "/order/7", "id-1", "body"); got.status != http.StatusOK || string(got.body) != "order taken" {
+			return fmt.Errorf("got %+v", got)
+		}
+		if !strings.Contains(weak.log.String(), "handed over: passed on") {
+			return fmt.Errorf("answered without the strong host")
+		}
+		return nil
+	})
+	strong.stop()
+	<-strong.ended
+	strong.ended <- nil
+	eventually(t, func() error {
+		if got := weak.ask("GET", "/gather/", "id-2", ""); got.status != http.StatusOK {
+			return fmt.Errorf("got %+v", got)
+		}
+		return nil
+	})
+}
+
+// TestPlannedStopCutsNothing stops a host under callers that keep their
+// connections: each request is answered, or met a closed connection before it
+// was read.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	r := twoShards(t)
+	h := r.host("host-1", "d1", 1)
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		client := *h
+		client.client = newCaller()
+		callers.Go(func() {
+			for i := range 400 {
+				id := fmt.Sprintf("id-%d-%d", caller, i)
+				got := client.ask("POST", "/order/7", id, "body")
+				runs, _ := r.servers["o1"].Runs(id)
+				if got.err != nil && runs > 0 {
+					t.Errorf("%s ran and was cut: %v", id, got.err)
+				}
+				if got.err != nil && strings.Contains(got.err.Error(), "refused") {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	h.stop()
+	h.waitReady(false)
+	callers.Wait()
+	if err := <-h.ended; err != nil {
+		t.Error(err)
+	}
+	h.ended <- nil
+}
--- /dev/null
+++ b/edge/rig_test.go
@@ -0,0 +1,223 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/platform"
+	"github.com/samphirebeam/samphirebeam/standin/platformstub"
+	"github.com/samphirebeam/samphirebeam/standin/serverstub"
+)
+
+// contact is the time of contact that the tests' hosts are given.
+const contact = time.Second
+
+// rig is a store, servers and hosts on loopback.
+type rig struct {
+	t       *testing.T
+	store   *platformstub.Stub
+	address string
+	servers map[string]*serverstub.Server
+	version int
+}
+
+func newRig(t *testing.T) *rig {
+	store := platformstub.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.CloseClientConnections)
+	return &rig{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}}
+}
+
+// server starts a server and registers it.
+func (r *rig) server(service, id string, config serverstub.Config) *serverstub.Server {
+	r.t.Helper()
+	config.ID = id
+	config.Slots = max(config.Slots, 2)
+	config.Queue = max(config.Queue, 12)
+	s, err := serverstub.Start(config)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(s.Close)
+	r.servers[id] = s
+	r.register(service, id, "ready")
+	return s
+}
+
+func (r *rig) register(service, id, state string) {
+	r.put("servers", id, map[string]any{
+		"service": service, "address": r.servers[id].Address(), "zone": "d1", "version": "v1",
+		"max_concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+	})
+}
+
+func (r *rig) put(kind, name string, spec any) {
+	r.t.Helper()
+	if err := r.store.Put(kind, name, spec); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// configure writes the next version: a gather at /gather/ over shards, /fetch/
+// to a service that may be repeated, /order/ to one that may not.
+func (r *rig) configure(fetch string, shards ...string) {
+	r.version++
+	route := func(prefix, kind string, more map[string]any) map[string]any {
+		route := map[string]any{
+			"name": prefix, "host": "h.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 1500,
+			"target_latency_ms": 400, "priority": 1, "max_attempts": 2,
+		}
+		for key, value := range more {
+			route[key] = value
+		}
+		return route
+	}
+	services := []map[string]any{}
+	for _, name := range append([]string{fetch, "orders"}, shards...) {
+		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 24, "warmup_s": 3, "warmup_per_s": 0})
+	}
+	r.put("config", "main", map[string]any{
+		"version": r.version,
+		"routes": []any{
+			route("/gather/", "idempotent", map[string]any{"gather": shards, "top_k": 3, "min_coverage": 0.5}),
+			route("/fetch/", "idempotent", map[string]any{"service": fetch}),
+			route("/order/", "non_idempotent", map[string]any{"service": "orders"}),
+		},
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// host starts a host and waits until it is ready.
+func (r *rig) host(name, domain string, power float64) *running {
+	r.t.Helper()
+	place := platform.HostSettings{
+		Host: "", Domain: "", IP: "127.0.0.1", Callers: freeAddress(r.t), Readiness: freeAddress(r.t), Control: freeAddress(r.t),
+		Store: r.address, Power: power, MemoryBytes: 1 << 28, StopWithin: 2 * time.Second, Contact: contact,
+		RetryRatio: 0.2, RetryAllowance: 56, RetryWindow: 10 * time.Second,
+	}
+	place.Host, place.Domain = hostID(name), domainID(domain)
+	settings := DefaultSettings()
+	settings.MetricsPort = 0
+	log := &lockedBuffer{}
+	h, err := New(settings, place, log)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	running := &running{Host: h, t: r.t, log: log, stop: stop, ended: make(chan error, 1), client: newCaller()}
+	go func() { running.ended <- h.Run(ctx) }()
+	r.t.Cleanup(func() {
+		stop()
+		<-running.ended
+		if r.t.Failed() {
+			r.t.Logf("log of %s:\n%s", name, log)
+		}
+	})
+	running.waitReady(true)
+	return running
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// running is one host that runs.
+type running struct {
+	*Host
+	t      *testing.T
+	log    *lockedBuffer
+	stop   context.CancelFunc
+	ended  chan error
+	client *http.Client
+}
+
+func newCaller() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}, Timeout: 5 * time.Second}
+}
+
+func (h *running) waitReady(want bool) {
+	h.t.Helper()
+	eventually(h.t, func() error {
+		response, err := http.Get("http://" + h.place.Readiness + "/readyz")
+		if err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+		if got := response.StatusCode == http.StatusOK; got != want {
+			return fmt.Errorf("ready: %v, want %v", got, want)
+		}
+		return nil
+	})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// ask puts a request to a host.
+func (h *running) ask(method, path, id, body string) reply {
+	request, err := http.NewRequest(method, "http://"+h.place.Callers+path, strings.NewReader(body))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "1500")
+	response, err := h.client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: data, err: err}
+}
+
+// eventually retries a check for a few seconds.
+func eventually(t *testing.T, check func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if err = check(); err == nil {
+			return
+		}
+	}
+	t.Fatal(err)
+}
+
+// lockedBuffer takes the log of a host.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
--- a/standin/fleet/client.go
+++ b/standin/fleet/client.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	return do(http.MethodPut, f.Platform+platform.HostsPath, body, nil)
+	return do(http.MethodPut, f.Platform+platformstub.HostsPath, body, nil)
 }
 
 // Reply is what a caller got: an answer or a failure.
--- /dev/null
+++ b/standin/platformstub/store.go
@@ -0,0 +1,201 @@
+package platformstub
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// store holds objects by kind and name under one revision counter, with the
+// history of their changes.
+type store struct {
+	mu        sync.Mutex
+	revision  uint64
+	kinds     map[string]map[string]platform.StoredObject
+	history   []record
+	forgotten uint64 // changes up to this revision are not in the history
+	// changed is closed and replaced at each change, which wakes the watches.
+	changed chan struct{}
+}
+
+// record is one change.
+type record struct {
+	revision uint64
+	at       time.Time
+	kind     string
+	change   platform.Change
+}
+
+func newStore() *store {
+	return &store{kinds: map[string]map[string]platform.StoredObject{}, changed: make(chan struct{})}
+}
+
+// list returns the objects of a kind after a name, sorted, as they were at a
+// moment.
+func (s *store) list(kind, after string, asOf time.Time) ([]platform.StoredObject, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects := map[string]platform.StoredObject{}
+	for name, o := range s.kinds[kind] {
+		objects[name] = o
+	}
+	for i := len(s.history) - 1; i >= 0 && s.history[i].at.After(asOf); i-- {
+		s.undo(objects, kind, i)
+	}
+	var items []platform.StoredObject
+	for name, o := range objects {
+		if name > after {
+			items = append(items, o)
+		}
+	}
+	slices.SortFunc(items, func(a, b platform.StoredObject) int {
+		if a.Meta.Name < b.Meta.Name {
+			return -1
+		}
+		return 1
+	})
+	return items, s.revision
+}
+
+// undo takes one change of the history back.
+func (s *store) undo(objects map[string]platform.StoredObject, kind string, at int) {
+	undone := s.history[at]
+	if undone.kind != kind {
+		return
+	}
+	name := undone.change.Object.Meta.Name
+	delete(objects, name)
+	for i := at - 1; i >= 0; i-- {
+		earlier := s.history[i]
+		if earlier.kind == kind && earlier.change.Object.Meta.Name == name {
+			if !earlier.change.Removed {
+				objects[name] = earlier.change.Object
+			}
+			return
+		}
+	}
+}
+
+func (s *store) get(kind, name string) (platform.StoredObject, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, found := s.kinds[kind][name]
+	return o, found
+}
+
+// outcome is what became of a write.
+type outcome int
+
+const (
+	written outcome = iota
+	missing
+	conflict
+)
+
+// put creates an object or replaces its spec. A write that changes nothing
+// leaves the revision as it is.
+func (s *store) put(kind string, o platform.StoredObject, create bool) (platform.StoredObject, outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, found := s.kinds[kind][o.Meta.Name]
+	switch {
+	case create && found:
+		return old, conflict
+	case !create && !found:
+		return old, missing
+	case !create && o.Meta.Revision != 0 && o.Meta.Revision != old.Meta.Revision:
+		return old, conflict
+	case found && string(old.Spec) == string(o.Spec):
+		return old, written
+	}
+	s.revision++
+	o.Meta.Revision, o.Meta.Created = s.revision, old.Meta.Created
+	if create {
+		o.Meta.Created = s.revision
+	}
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]platform.StoredObject{}
+	}
+	s.kinds[kind][o.Meta.Name] = o
+	s.record(kind, platform.Change{Object: o})
+	return o, written
+}
+
+func (s *store) remove(kind, name string, revision uint64) (platform.StoredObject, outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, found := s.kinds[kind][name]
+	switch {
+	case !found:
+		return old, missing
+	case revision != 0 && revision != old.Meta.Revision:
+		return old, conflict
+	}
+	s.revision++
+	delete(s.kinds[kind], name)
+	s.record(kind, platform.Change{Removed: true, Object: old})
+	return old, written
+}
+
+// record appends to the history and wakes the watches; the lock is held.
+func (s *store) record(kind string, c platform.Change) {
+	s.history = append(s.history, record{revision: s.revision, at: time.Now(), kind: kind, change: c})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// compact forgets the history.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// wake lets the watches look again.
+func (s *store) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// since returns the changes of a kind after a revision, the revision to go on
+// from, and the channel that closes at the next change; gone means that the
+// history does not reach back so far.
+func (s *store) since(kind string, after uint64) (changes []platform.Change, revision uint64, changed <-chan struct{}, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.forgotten {
+		return nil, 0, nil, true
+	}
+	for _, r := range s.history {
+		if r.kind == kind && r.revision > after {
+			changes = append(changes, r.change)
+		}
+	}
+	return changes, s.revision, s.changed, false
+}
+
+// watch waits for changes of a kind, or until broken is true after a wake.
+func (s *store) watch(ctx context.Context, kind string, after uint64, wait time.Duration, broken func() bool) (changes []platform.Change, revision uint64, gone bool) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		changes, revision, changed, gone := s.since(kind, after)
+		if len(changes) > 0 || gone || broken() {
+			return changes, revision, gone
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil, revision, false
+		case <-ctx.Done():
+			return nil, revision, false
+		}
+	}
+}
--- a/standin/platformstub/stub.go
+++ b/standin/platformstub/stub.go
@@ -1,31 +1,48 @@
-// Package platformstub serves the platform's HTTP contract from memory, with
-// faults that a test or bench sets while it runs. It is a stand-in, apart
-// from the product.
+// Package platformstub serves the object API of the users' platform from
+// memory, with faults that a test or bench sets while it runs. It is a
+// stand-in, apart from the product.
 package platformstub
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
-	"strings"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/platform"
-	"github.com/samphirebeam/samphirebeam/platform/platformfake"
 )
 
-// maxWait bounds a watch whatever its caller asks.
-const maxWait = time.Minute
+const (
+	// maxWait bounds a watch whatever its caller asks.
+	maxWait = 30 * time.Second
+	// pageSize is the most objects of one page of a list.
+	pageSize = 500
+	// maxObjectBytes bounds a written object.
+	maxObjectBytes = 1<<20 + 64
+	// hostsKind holds the list of hosts, which may lag.
+	hostsKind = "hosts"
+	// silence is how long a call is held that gets no answer.
+	silence = time.Minute
+	// HostsPath takes the list of hosts as a whole.
+	HostsPath = "/hosts"
+)
 
 // Stub is an http.Handler.
 type Stub struct {
-	fake  *platformfake.Fake
+	store *store
 	mux   *http.ServeMux
 	calls [callKinds]atomic.Uint64
+
+	mu         sync.Mutex
+	faults     faults
+	firstHosts time.Time
 }
 
 type callKind int
@@ -51,32 +68,87 @@
 // Faults is the body of POST /faults; durations are text with their unit. A
 // fault that is left out ends.
 type Faults struct {
-	Down        bool   `json:"down,omitempty"`
-	Delay       string `json:"delay,omitempty"`
-	LoseReplies int    `json:"loseReplies,omitempty"`
-	StaleWatch  bool   `json:"staleWatch,omitempty"`
+	// Down breaks each connection without effect, waiting watches included.
+	Down bool `json:"down,omitempty"`
+	// Silent takes calls and answers none.
+	Silent bool `json:"silent,omitempty"`
+	// Busy answers each call 503 without effect.
+	Busy bool `json:"busy,omitempty"`
+	// Delay passes before each call takes effect.
+	Delay string `json:"delay,omitempty"`
+	// LoseReplies is how many of the next writes take effect without a reply.
+	LoseReplies int `json:"loseReplies,omitempty"`
+	// StaleWatch has each watch answer at once with the state that it has.
+	StaleWatch bool `json:"staleWatch,omitempty"`
+	// ForgetWatches leaves the watches that wait without an answer for good.
+	ForgetWatches bool `json:"forgetWatches,omitempty"`
+	// HostListLag is how old the list of hosts is.
 	HostListLag string `json:"hostListLag,omitempty"`
 }
 
+// faults is Faults with its durations read.
+type faults struct {
+	Faults
+	delay, lag time.Duration
+}
+
 // New returns an empty, healthy platform.
 func New() *Stub {
-	s := &Stub{fake: platformfake.New(), mux: http.NewServeMux()}
-	s.mux.HandleFunc("GET "+platform.ObjectsPath+"{key...}", s.get)
-	s.mux.HandleFunc("PUT "+platform.ObjectsPath+"{key...}", s.put)
-	s.mux.HandleFunc("DELETE "+platform.ObjectsPath+"{key...}", s.delete)
-	s.mux.HandleFunc("GET "+platform.HostsPath, s.hosts)
-	s.mux.HandleFunc("PUT "+platform.HostsPath, s.setHosts)
+	s := &Stub{store: newStore(), mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /objects/{kind}", s.list)
+	s.mux.HandleFunc("GET /objects/{kind}/{name}", s.get)
+	s.mux.HandleFunc("POST /objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) { s.write(w, r, true) })
+	s.mux.HandleFunc("PUT /objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) { s.write(w, r, false) })
+	s.mux.HandleFunc("DELETE /objects/{kind}/{name}", s.remove)
+	s.mux.HandleFunc("PUT "+HostsPath, s.setHosts)
 	s.mux.HandleFunc("POST /faults", s.setFaults)
+	s.mux.HandleFunc("POST /compact", func(http.ResponseWriter, *http.Request) { s.store.compact() })
 	s.mux.HandleFunc("GET /stats", s.stats)
 	return s
 }
 
-// Fake returns the platform behind the handler.
-func (s *Stub) Fake() *platformfake.Fake { return s.fake }
-
 // ServeHTTP serves the contract, the fault control and the counters.
 func (s *Stub) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// Put writes an object as an operator or a server does.
+func (s *Stub) Put(kind, name string, spec any) error {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return eris.Wrap(err, "spec")
+	}
+	object := platform.StoredObject{Meta: platform.Meta{Name: name}, Spec: encoded}
+	if _, result := s.store.put(kind, object, false); result == missing {
+		s.store.put(kind, object, true)
+	}
+	return nil
+}
+
+// Remove removes an object.
+func (s *Stub) Remove(kind, name string) { s.store.remove(kind, name, 0) }
+
+// Compact forgets the history of changes.
+func (s *Stub) Compact() { s.store.compact() }
+
+// SetFaults replaces the faults; the error says what cannot be read.
+func (s *Stub) SetFaults(f Faults) error {
+	delay, delayErr := duration(f.Delay)
+	lag, lagErr := duration(f.HostListLag)
+	if err := errors.Join(delayErr, lagErr); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.faults = faults{Faults: f, delay: delay, lag: lag}
+	s.mu.Unlock()
+	s.store.wake()
+	return nil
+}
+
+func (s *Stub) current() faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Stats returns the calls so far.
 func (s *Stub) Stats() Stats {
 	return Stats{
@@ -88,91 +160,181 @@
 	}
 }
 
-func (s *Stub) get(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Query().Has(platform.WatchParam) {
+// enter counts a call and applies the faults that come before its effect;
+// false means that it was answered or has no answer.
+func (s *Stub) enter(w http.ResponseWriter, r *http.Request, kind callKind) bool {
+	s.calls[kind].Add(1)
+	f := s.current()
+	if f.delay > 0 && !sleep(r, f.delay) {
+		return false
+	}
+	f = s.current()
+	switch {
+	case f.Down:
+		panic(http.ErrAbortHandler)
+	case f.Silent:
+		sleep(r, silence)
+		panic(http.ErrAbortHandler)
+	case f.Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// sleep returns false when the caller left.
+func sleep(r *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// loseReply breaks the connection after a write, if one is to be lost.
+func (s *Stub) loseReply() {
+	s.mu.Lock()
+	lose := s.faults.LoseReplies > 0
+	if lose {
+		s.faults.LoseReplies--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Stub) list(w http.ResponseWriter, r *http.Request) {
+	kind, query := r.PathValue("kind"), r.URL.Query()
+	if query.Has("watch") {
 		s.watch(w, r)
 		return
 	}
-	s.calls[callGet].Add(1)
-	o, err := s.fake.Get(r.Context(), r.PathValue("key"))
-	answer(w, o, err)
+	call, asOf := callGet, time.Now()
+	if kind == hostsKind {
+		call = callHosts
+		asOf = s.laggingBy(asOf)
+	}
+	if !s.enter(w, r, call) {
+		return
+	}
+	items, revision := s.store.list(kind, query.Get("after"), asOf)
+	more := len(items) > pageSize
+	if more {
+		items = items[:pageSize]
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": revision})
+}
+
+// laggingBy returns when the list of hosts was as it is served at a moment. It
+// is never from before the first one.
+func (s *Stub) laggingBy(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asOf := now.Add(-s.faults.lag)
+	if asOf.Before(s.firstHosts) {
+		return s.firstHosts
+	}
+	return asOf
 }
 
 func (s *Stub) watch(w http.ResponseWriter, r *http.Request) {
-	s.calls[callWatch].Add(1)
-	after, err := platform.ParseVersion(r.URL.Query().Get(platform.WatchParam))
-	if err != nil {
+	kind, query := r.PathValue("kind"), r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(query.Get("wait_ms"))
+	if err = errors.Join(err, waitErr); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	wait, err := time.ParseDuration(r.URL.Query().Get(platform.TimeoutParam))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !s.enter(w, r, callWatch) {
 		return
 	}
-	o, found, err := s.fake.WatchRaw(r.Context(), r.PathValue("key"), after, min(wait, maxWait))
-	if err == nil && !found {
-		w.WriteHeader(http.StatusNotModified)
-		return
+	if s.current().StaleWatch {
+		after = 0
+	}
+	changes, revision, gone := s.store.watch(r.Context(), kind, after, min(maxWait, time.Duration(wait)*time.Millisecond), s.breaksWatches)
+	f := s.current()
+	switch {
+	case f.Down:
+		panic(http.ErrAbortHandler)
+	case f.ForgetWatches || f.Silent:
+		sleep(r, silence)
+		panic(http.ErrAbortHandler)
+	case gone:
+		w.WriteHeader(http.StatusGone)
+	default:
+		reply(w, http.StatusOK, map[string]any{"events": changes, "store_revision": revision})
 	}
-	answer(w, o, err)
 }
 
-func (s *Stub) put(w http.ResponseWriter, r *http.Request) {
-	s.calls[callPut].Add(1)
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueSize))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+func (s *Stub) breaksWatches() bool {
+	f := s.current()
+	return f.Down || f.Silent || f.ForgetWatches
+}
+
+func (s *Stub) get(w http.ResponseWriter, r *http.Request) {
+	if !s.enter(w, r, callGet) {
 		return
 	}
-	version, err := condition(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	o, found := s.store.get(r.PathValue("kind"), r.PathValue("name"))
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	// A write that arrived takes effect even if its caller gives up.
-	next, err := s.fake.Put(context.WithoutCancel(r.Context()), r.PathValue("key"), value, version)
-	answer(w, platform.Object{Version: next}, err)
+	reply(w, http.StatusOK, o)
 }
 
-func (s *Stub) delete(w http.ResponseWriter, r *http.Request) {
-	s.calls[callDelete].Add(1)
-	version, err := condition(r)
+func (s *Stub) write(w http.ResponseWriter, r *http.Request, create bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes+(64<<10)))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	err = s.fake.Delete(context.WithoutCancel(r.Context()), r.PathValue("key"), version)
-	answer(w, platform.Object{}, err)
-}
-
-// condition returns the version that a write needs; a write without a
-// condition is refused.
-func condition(r *http.Request) (uint64, error) {
-	if strings.TrimSpace(r.Header.Get("If-None-Match")) == "*" {
-		return 0, nil
+	var o platform.StoredObject
+	if err := json.Unmarshal(data, &o); err != nil || o.Meta.Name != r.PathValue("name") {
+		http.Error(w, "not an object of this name", http.StatusBadRequest)
+		return
+	}
+	if len(o.Spec) > maxObjectBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
 	}
-	return platform.ParseVersion(r.Header.Get("If-Match"))
+	if !s.enter(w, r, callPut) {
+		return
+	}
+	stored, result := s.store.put(r.PathValue("kind"), o, create)
+	s.conclude(w, stored, result)
 }
 
-func (s *Stub) hosts(w http.ResponseWriter, r *http.Request) {
-	s.calls[callHosts].Add(1)
-	hosts, err := s.fake.Hosts(r.Context())
-	if err != nil {
-		answer(w, platform.Object{}, err)
+func (s *Stub) remove(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil && r.URL.Query().Has("revision") {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	data, err := platform.EncodeHosts(hosts)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+	if !s.enter(w, r, callDelete) {
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	stored, result := s.store.remove(r.PathValue("kind"), r.PathValue("name"), revision)
+	s.conclude(w, stored, result)
+}
+
+// conclude answers a write.
+func (s *Stub) conclude(w http.ResponseWriter, stored platform.StoredObject, result outcome) {
+	switch result {
+	case missing:
+		w.WriteHeader(http.StatusNotFound)
+	case conflict:
+		reply(w, http.StatusConflict, stored)
+	default:
+		s.loseReply()
+		reply(w, http.StatusOK, stored)
+	}
 }
 
 func (s *Stub) setHosts(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueSize))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
@@ -182,31 +344,52 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.fake.SetHosts(hosts)
+	if err := s.SetHosts(hosts); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// SetHosts replaces the list of hosts.
+func (s *Stub) SetHosts(hosts []core.HostInfo) error {
+	listed := map[string]bool{}
+	for _, h := range hosts {
+		spec, err := platform.EncodeHost(h)
+		if err != nil {
+			return err
+		}
+		listed[string(h.Host)] = true
+		if err := s.Put(hostsKind, string(h.Host), json.RawMessage(spec)); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	if s.firstHosts.IsZero() {
+		s.firstHosts = time.Now()
+	}
+	s.mu.Unlock()
+	items, _ := s.store.list(hostsKind, "", time.Now())
+	for _, item := range items {
+		if !listed[item.Meta.Name] {
+			s.store.remove(hostsKind, item.Meta.Name, 0)
+		}
+	}
+	return nil
+}
+
 func (s *Stub) setFaults(w http.ResponseWriter, r *http.Request) {
 	var body Faults
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValueSize))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxObjectBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	err := decoder.Decode(&body)
+	if err == nil {
+		err = s.SetFaults(body)
 	}
-	delay, delayErr := duration(body.Delay)
-	lag, lagErr := duration(body.HostListLag)
-	if err := errors.Join(delayErr, lagErr); err != nil {
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.fake.SetFaults(platformfake.Faults{
-		Down:        body.Down,
-		Delay:       delay,
-		LoseReplies: body.LoseReplies,
-		StaleWatch:  body.StaleWatch,
-		HostListLag: lag,
-	})
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -217,25 +400,10 @@
 	return time.ParseDuration(text)
 }
 
-func (s *Stub) stats(w http.ResponseWriter, _ *http.Request) {
+func (s *Stub) stats(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Stats()) }
+
+func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Stats())
-}
-
-// answer writes an object or an error; an unavailable platform breaks the
-// connection without an answer.
-func answer(w http.ResponseWriter, o platform.Object, err error) {
-	switch platform.KindOf(err) {
-	case core.OK:
-		w.Header().Set("ETag", platform.FormatVersion(o.Version))
-		_, _ = w.Write(o.Value)
-	case core.UnknownName:
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case core.Conflict:
-		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case core.TooLarge:
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-	default:
-		panic(http.ErrAbortHandler)
-	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller may have left
 }
--- a/standin/platformstub/stub_test.go
+++ b/standin/platformstub/stub_test.go
@@ -8,41 +8,53 @@
 )
 
 func TestRequests(t *testing.T) {
+	object := func(name, revision, spec string) string {
+		return `{"meta":{"name":"` + name + `","revision":` + revision + `},"spec":` + spec + `}`
+	}
 	tests := []struct {
-		name, method, path, header, body string
-		status                           int
+		name, method, path, body string
+		status                   int
+		contains                 string
 	}{
-		{"create", "PUT", "/v1/objects/lease/a", "If-None-Match: *", "x", 200},
-		{"create again", "PUT", "/v1/objects/lease/a", "If-None-Match: *", "x", 412},
-		{"no condition", "PUT", "/v1/objects/lease/a", "", "x", 400},
-		{"bare version", "PUT", "/v1/objects/lease/a", "If-Match: 1", "y", 200},
-		{"quoted version", "PUT", "/v1/objects/lease/a", `If-Match: "2"`, "z", 200},
-		{"too large", "PUT", "/v1/objects/b", "If-None-Match: *", strings.Repeat("x", 1<<20+1), 413},
-		{"get", "GET", "/v1/objects/lease/a", "", "", 200},
-		{"get missing", "GET", "/v1/objects/none", "", "", 404},
-		{"watch times out", "GET", "/v1/objects/lease/a?watch=3&timeout=1ms", "", "", 304},
-		{"watch without timeout", "GET", "/v1/objects/lease/a?watch=3", "", "", 400},
-		{"hosts", "PUT", "/v1/hosts", "", `[{"host":"h","address":"127.0.0.1:1","domain":"d"}]`, 204},
-		{"bad hosts", "PUT", "/v1/hosts", "", `{`, 400},
-		{"bad fault", "POST", "/faults", "", `{"dwon":true}`, 400},
-		{"bad delay", "POST", "/faults", "", `{"delay":"5"}`, 400},
-		{"delete", "DELETE", "/v1/objects/lease/a", "If-Match: 3", "", 200},
+		{"create", "POST", "/objects/lease/a", object("a", "0", `"x"`), 200, `"revision":1`},
+		{"create again", "POST", "/objects/lease/a", object("a", "0", `"y"`), 409, `"spec":"x"`},
+		{"replace", "PUT", "/objects/lease/a", object("a", "1", `"y"`), 200, `"revision":2`},
+		{"replace at an old revision", "PUT", "/objects/lease/a", object("a", "1", `"z"`), 409, `"spec":"y"`},
+		{"replace at any revision", "PUT", "/objects/lease/a", object("a", "0", `"z"`), 200, `"revision":3`},
+		{"no change", "PUT", "/objects/lease/a", object("a", "0", `"z"`), 200, `"revision":3`},
+		{"replace none", "PUT", "/objects/lease/b", object("b", "0", `"z"`), 404, ""},
+		{"another name", "POST", "/objects/lease/b", object("c", "0", `1`), 400, ""},
+		{"too large", "POST", "/objects/lease/b", object("b", "0", `"`+strings.Repeat("x", 1<<20+64)+`"`), 413, ""},
+		{"a name with a slash", "POST", "/objects/lease/c%2Fd", object("c/d", "0", `1`), 200, `"c/d"`},
+		{"get", "GET", "/objects/lease/a", "", 200, `"spec":"z"`},
+		{"get none", "GET", "/objects/lease/none", "", 404, ""},
+		{"list", "GET", "/objects/lease", "", 200, `"has_more":false,"items":[{"meta":{"name":"a"`},
+		{"list after", "GET", "/objects/lease?after=a", "", 200, `"items":[{"meta":{"name":"c/d"`},
+		{"watch times out", "GET", "/objects/lease?watch=4&wait_ms=1", "", 200, `"events":null,"store_revision":4`},
+		{"watch", "GET", "/objects/lease?watch=2&wait_ms=1000", "", 200, `"spec":"z"`},
+		{"watch another kind", "GET", "/objects/none?watch=1&wait_ms=1", "", 200, `"events":null`},
+		{"watch without a wait", "GET", "/objects/lease?watch=3", "", 400, ""},
+		{"hosts", "PUT", "/hosts", `[{"host":"h","address":"127.0.0.1:1","domain":"d"}]`, 204, ""},
+		{"bad hosts", "PUT", "/hosts", `{`, 400, ""},
+		{"bad fault", "POST", "/faults", `{"dwon":true}`, 400, ""},
+		{"bad delay", "POST", "/faults", `{"delay":"5"}`, 400, ""},
+		{"delete at an old revision", "DELETE", "/objects/lease/a?revision=1", "", 409, ""},
+		{"delete", "DELETE", "/objects/lease/a?revision=3", "", 200, ""},
+		{"watch a removal", "GET", "/objects/lease?watch=4&wait_ms=1000", "", 200, `"removed":true`},
+		{"forget", "POST", "/compact", "", 200, ""},
+		{"watch what is forgotten", "GET", "/objects/lease?watch=4&wait_ms=1", "", 410, ""},
 	}
 	stub := New()
 	for _, tt := range tests {
-		r := httptest.NewRequest(tt.method, tt.path, strings.NewReader(tt.body))
-		if name, value, ok := strings.Cut(tt.header, ": "); ok {
-			r.Header.Set(name, value)
-		}
 		w := httptest.NewRecorder()
-		stub.ServeHTTP(w, r)
-		if w.Code != tt.status {
-			t.Errorf("%s: got %d %s, want %d", tt.name, w.Code, w.Body, tt.status)
+		stub.ServeHTTP(w, httptest.NewRequest(tt.method, tt.path, strings.NewReader(tt.body)))
+		if w.Code != tt.status || !strings.Contains(w.Body.String(), tt.contains) {
+			t.Errorf("%s: got %d %s, want %d with %s", tt.name, w.Code, w.Body, tt.status, tt.contains)
 		}
 	}
 	w := httptest.NewRecorder()
 	stub.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/stats", nil))
-	if got := strings.TrimSpace(w.Body.String()); got != `{"get":2,"put":6,"delete":1,"watch":2,"hosts":0}` {
+	if got := strings.TrimSpace(w.Body.String()); got != `{"get":4,"put":8,"delete":2,"watch":5,"hosts":0}` {
 		t.Errorf("got stats %s", got)
 	}
 }
--- /dev/null
+++ b/standin/serverstub/server.go
@@ -0,0 +1,242 @@
+// Package serverstub is a server of the users' platform, as samphirebeam-edge
+// meets it: it runs a few requests at once, queues some, sheds the rest, and
+// misbehaves as a test asks. It is a stand-in, apart from the product.
+package serverstub
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Fault is how a server misbehaves.
+type Fault int
+
+// The faults of a server.
+const (
+	// Sound servers do not misbehave.
+	Sound Fault = iota
+	// LoseAnswer runs a request and closes the connection without an answer.
+	LoseAnswer
+	// Truncate breaks off within the body.
+	Truncate
+	// Extra sends a second answer after each.
+	Extra
+	// Unframed sends no length and ends the answer with the connection.
+	Unframed
+	// Rubbish sends bytes that are no answer.
+	Rubbish
+	// Fail runs a request and answers 500.
+	Fail
+	// Shed runs nothing.
+	Shed
+	// Early answers before it has read the body.
+	Early
+	// Other behaves as another server at the same address.
+	Other
+	// ForgetIdle closes connections soon after an answer, without notice.
+	ForgetIdle
+)
+
+// Config is what a server is made of.
+type Config struct {
+	// ID is what requests have to expect.
+	ID string
+	// Slots run at once, Queue wait.
+	Slots, Queue int
+	// Work is how long a request runs.
+	Work time.Duration
+	// Body is the body of each answer.
+	Body []byte
+}
+
+// Server is one running server.
+type Server struct {
+	config   Config
+	listener net.Listener
+	slots    chan struct{}
+
+	mu      sync.Mutex
+	fault   Fault
+	pause   time.Time // nothing runs before
+	waiting int
+	runs    map[string]int // by request id
+	bodies  map[string]string
+	arrived int
+}
+
+// Start opens a server on a free loopback port.
+func Start(config Config) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	s := &Server{
+		config: config, listener: listener, slots: make(chan struct{}, max(1, config.Slots)),
+		runs: map[string]int{}, bodies: map[string]string{},
+	}
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the server's "ip:port".
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops taking connections.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+// SetFault changes how the server misbehaves.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Pause lets nothing run for a while.
+func (s *Server) Pause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = time.Now().Add(d)
+}
+
+// Runs returns how often a request ran here, and the body that it came with.
+func (s *Server) Runs(requestID string) (int, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[requestID], s.bodies[requestID]
+}
+
+// Arrived returns how many requests came, those that were shed included.
+func (s *Server) Arrived() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrived
+}
+
+// Stamp returns the signature of this server's answer to a request.
+func (s *Server) Stamp(requestID string) string { return s.config.ID + "." + requestID }
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return // the caller left
+		}
+		fault := s.current()
+		if fault == Early && r.ContentLength > 0 {
+			s.refuse(c, r, http.StatusBadRequest)
+			_, _ = io.Copy(io.Discard, r.Body)
+			continue
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if !s.answer(c, r, string(body), fault) {
+			return
+		}
+	}
+}
+
+func (s *Server) current() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// answer answers one request; false ends the connection.
+func (s *Server) answer(c net.Conn, r *http.Request, body string, fault Fault) bool {
+	s.mu.Lock()
+	s.arrived++
+	s.mu.Unlock()
+	expected := r.Header.Get("Expect-Instance")
+	switch {
+	case fault == Other, expected != "" && expected != s.config.ID:
+		return s.refuse(c, r, http.StatusMisdirectedRequest)
+	case fault == Shed, !s.enter():
+		return s.refuse(c, r, http.StatusServiceUnavailable)
+	}
+	id := r.Header.Get("Request-Id")
+	s.mu.Lock()
+	s.runs[id]++
+	s.bodies[id] = body
+	s.mu.Unlock()
+	time.Sleep(s.config.Work)
+	<-s.slots
+	return s.send(c, id, fault)
+}
+
+// enter waits for a slot; false means that the queue is full.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	if s.waiting > s.config.Queue {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	pause := time.Until(s.pause)
+	s.mu.Unlock()
+	time.Sleep(max(0, pause))
+	s.slots <- struct{}{}
+	s.mu.Lock()
+	s.waiting--
+	s.mu.Unlock()
+	return true
+}
+
+func (s *Server) refuse(c net.Conn, r *http.Request, status int) bool {
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), r.Header.Get("Request-Id"))
+	_, err := io.WriteString(c, answer)
+	return err == nil
+}
+
+func (s *Server) send(c net.Conn, id string, fault Fault) bool {
+	status := "200 OK"
+	if fault == Fail {
+		status = "500 Internal Server Error"
+	}
+	head := "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + s.Stamp(id) + "\r\nX-Kept: yes\r\nConnection: keep-alive\r\n"
+	framed := head + "Content-Length: " + strconv.Itoa(len(s.config.Body)) + "\r\n\r\n" + string(s.config.Body)
+	write := func(text string) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	}
+	switch fault {
+	case LoseAnswer:
+		return false
+	case Truncate:
+		write(framed[:len(framed)-len(s.config.Body)/2])
+		return false
+	case Rubbish:
+		write("\x16\x03\x01 this is no answer\r\n\r\n")
+		return false
+	case Unframed:
+		write(head + "Connection: close\r\n\r\n" + string(s.config.Body))
+		return false
+	case Extra:
+		return write(framed + framed)
+	case ForgetIdle:
+		return write(framed) && false
+	default:
+		return write(framed)
+	}
+}
