Scatter: gathers are admitted by the time of their median part

Change: the gathers under way on a host are bounded; the bound shrinks when half of a gather's parts took longer than 0.8 of its target, and what is beyond it is refused at once. Sheds count against an upstream in the choice. TestWaveAboveCapacity fails without it.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -41,6 +41,7 @@
 		return
 	case r.Outcome == Succeeded:
 		p.in, p.payload = true, r.Payload
+		c.countIn(now)
 	default:
 		e.retry(now, p, a, r)
 	}
@@ -70,6 +71,7 @@
 		u.observe(now, ratio, true)
 	case NotExecuted:
 		u.lostInARow = 0
+		u.observe(now, u.slownessAt(now), true)
 		u.shrink()
 	case WrongInstance:
 		u.restsUntil = now.Add(misdirectedBackoff)
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -53,6 +53,13 @@
 		e.refuse(now, c, "too few services have an upstream")
 		return
 	}
+	if route.IsGather() {
+		if !e.admission.admits(e.gathers, e.config.MostUrgent(route)) {
+			e.refuse(now, c, "the upstreams' queues are long")
+			return
+		}
+		e.gathers++
+	}
 	e.calls[a.Call] = c
 	e.schedule(now, c)
 	for _, p := range c.parts {
@@ -293,6 +300,39 @@
 	e.finish(now, c, answer, "")
 }
 
+// countIn notes when half of the parts are in.
+func (c *call) countIn(now time.Time) {
+	c.in++
+	if 2*c.in >= len(c.parts) && c.halfAt.IsZero() {
+		c.halfAt = now
+	}
+}
+
+// leave takes a call out of those that have no answer, and lets the admission
+// learn from a gather.
+func (e *Engine) leave(now time.Time, c *call) {
+	c.done = true
+	if e.calls[c.id] != c {
+		return // it was refused before it began
+	}
+	delete(e.calls, c.id)
+	for _, timer := range c.timers {
+		e.timers.Stop(timer)
+	}
+	c.timers = nil
+	if !c.route.IsGather() {
+		return
+	}
+	e.gathers--
+	if c.halfAt.IsZero() {
+		if now.Sub(c.request.At) < c.route.Target {
+			return // it ended too early to tell
+		}
+		c.halfAt = now
+	}
+	e.admission.conclude(now, c.halfAt.Sub(c.request.At), c.route.Target, e.gathers)
+}
+
 // fail ends a call that cannot be answered any more.
 func (e *Engine) fail(now time.Time, c *call) {
 	switch {
@@ -354,12 +394,7 @@
 }
 
 func (e *Engine) finish(now time.Time, c *call, answer Answer, why string) {
-	c.done = true
-	delete(e.calls, c.id)
-	for _, timer := range c.timers {
-		e.timers.Stop(timer)
-	}
-	c.timers = nil
+	e.leave(now, c)
 	e.out.Answers = append(e.out.Answers, answer)
 	decision := DecisionAnswer
 	if answer.Kind == Refused {
@@ -396,12 +431,7 @@
 		return
 	}
 	e.stats.CallersGone++
-	c.done = true
-	delete(e.calls, id)
-	for _, timer := range c.timers {
-		e.timers.Stop(timer)
-	}
-	c.timers = nil
+	e.leave(now, c)
 	e.note(Note{
 		Decision: DecisionAnswer, RequestID: c.request.RequestID, Route: c.route.Name, Version: c.config.Version,
 		Age: now.Sub(c.request.At), Detail: "the caller left",
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -41,8 +41,11 @@
 	waiting    map[core.ServiceID][]*part
 	questions  questions
 	splits     map[*Route]*splitter
-	out        *Actions
-	stats      Stats
+	admission  admission
+	// gathers is how many gathers have no answer yet.
+	gathers int
+	out     *Actions
+	stats   Stats
 }
 
 // Stats counts decisions since the start.
@@ -65,8 +68,11 @@
 	// answerAt is when a gather is answered with the parts at hand.
 	answerAt time.Time
 	extras   int
-	done     bool
-	timers   []*schedule.Timer[firing]
+	in       int // parts that are
+	// halfAt is when half of the parts were in.
+	halfAt time.Time
+	done   bool
+	timers []*schedule.Timer[firing]
 	// failure is the last failure answer of an upstream, to pass on.
 	failure any
 }
@@ -110,6 +116,7 @@
 		waiting:   map[core.ServiceID][]*part{},
 		questions: questions{},
 		splits:    map[*Route]*splitter{},
+		admission: newAdmission(),
 	}
 }
 
--- /dev/null
+++ b/core/scatter/wave_test.go
@@ -0,0 +1,91 @@
+package scatter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// queues models upstreams with slots and an unbounded queue each.
+type queues struct {
+	rig  *rig
+	work time.Duration
+	free map[core.UpstreamID][]time.Time // when each slot is free
+}
+
+func (q *queues) serve(s scatter.Send) (time.Duration, scatter.Outcome) {
+	slots := q.free[s.Target.ID]
+	if slots == nil {
+		slots = make([]time.Time, s.Target.Slots)
+		q.free[s.Target.ID] = slots
+	}
+	first := 0
+	for i, at := range slots {
+		if at.Before(slots[first]) {
+			first = i
+		}
+	}
+	start := slots[first]
+	if start.Before(q.rig.now) {
+		start = q.rig.now
+	}
+	slots[first] = start.Add(q.work)
+	if done := slots[first]; done.After(s.Deadline) {
+		slots[first] = start // dropped in the queue
+		return s.Deadline.Sub(q.rig.now), scatter.NotExecuted
+	}
+	return slots[first].Sub(q.rig.now), scatter.Succeeded
+}
+
+// TestWaveAboveCapacity replays three times as many gathers as the upstreams
+// can do, for three seconds: a good part of what they can do still meets the
+// target, the rest is refused at once, and the load after the wave is served
+// as before it.
+func TestWaveAboveCapacity(t *testing.T) {
+	const work = 10 * ms
+	r := newRig(t)
+	r.configure(1, 6)
+	q := &queues{rig: r, work: work, free: map[core.UpstreamID][]time.Time{}}
+	r.serve = q.serve
+	capacity := 4.0 / work.Seconds() // two upstreams of two slots a shard
+	arrive := func(factor float64, d time.Duration) (calls []core.CallID, at map[core.CallID]time.Time) {
+		at = map[core.CallID]time.Time{}
+		gap := time.Duration(float64(time.Second) / (factor * capacity))
+		for passed := time.Duration(0); passed < d; passed += gap {
+			call := r.ask(gatherPath)
+			calls, at[call] = append(calls, call), r.now
+			r.run(gap)
+		}
+		return calls, at
+	}
+	inTarget := func(calls []core.CallID, at map[core.CallID]time.Time) (count int) {
+		for _, call := range calls {
+			if r.answers[call].Kind == scatter.Gathered && r.answered[call].Sub(at[call]) <= 100*ms {
+				count++
+			}
+		}
+		return count
+	}
+	before, beforeAt := arrive(0.5, time.Second)
+	wave, waveAt := arrive(3, 3*time.Second)
+	r.run(time.Second)
+	after, afterAt := arrive(0.5, time.Second)
+	r.run(time.Second)
+	if got := inTarget(before, beforeAt); got != len(before) {
+		t.Errorf("%d of %d met the target before the wave", got, len(before))
+	}
+	if got := inTarget(wave, waveAt); float64(got) < 0.5*capacity*3 {
+		t.Errorf("%d met the target in the wave, with room for %g", got, capacity*3)
+	}
+	if got := inTarget(after, afterAt); float64(got) < 0.95*float64(len(after)) {
+		t.Errorf("%d of %d met the target after the wave", got, len(after))
+	}
+	for _, call := range wave {
+		a := r.answers[call]
+		if a.Kind == scatter.Refused && (r.answered[call] != waveAt[call] || a.RetryAfter <= 0) {
+			t.Errorf("call %d was refused after %v, to come back in %v", call, r.answered[call].Sub(waveAt[call]), a.RetryAfter)
+		}
+	}
+}
