Edge: a caller who leaves is no failure of the host that answers

Change: the end of a handover whose call has ended here is not reported. Measured: TestCallerWhoLeavesBlamesNobody fails without it.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -288,3 +288,28 @@
 	}
 	h.ended <- nil
 }
+
+// TestCallerWhoLeavesBlamesNobody: the end of a handover whose caller left is
+// no failure of the host that answers.
+func TestCallerWhoLeavesBlamesNobody(t *testing.T) {
+	r := twoShards(t)
+	r.host("strong", "d1", 1)
+	weak := r.host("weak", "d1", 0.1)
+	eventually(t, func() error {
+		weak.ask("GET", "/gather/", "id-0", "")
+		if !strings.Contains(weak.log.String(), "handed over: passed on") {
+			return fmt.Errorf("no handover yet")
+		}
+		return nil
+	})
+	r.servers["o1"].Pause(2 * time.Second)
+	for i := range 5 {
+		impatient := *weak
+		impatient.client = &http.Client{Timeout: 50 * time.Millisecond, Transport: &http.Transport{}}
+		impatient.ask("POST", "/order/7", fmt.Sprint("id-", i), "body")
+	}
+	time.Sleep(100 * time.Millisecond)
+	if strings.Contains(weak.log.String(), "host_rests") {
+		t.Error("the strong host rests because callers left")
+	}
+}
--- a/edge/host.go
+++ b/edge/host.go
@@ -200,7 +200,12 @@
 	p.endHandover = cancel
 	go func() {
 		defer cancel()
-		h.report(h.peers.runAt(ctx, handover, p.request))
+		ended := h.peers.runAt(ctx, handover, p.request)
+		if ctx.Err() == nil {
+			h.report(ended)
+		}
+		// Otherwise the call ended here, by its caller or its deadline, and the
+		// end says nothing of the other host.
 	}()
 }
 
