Soak: real hosts as processes under random faults, and what it found

Cause: nothing ran the edge's program under signals, harmed links and a store in trouble at once. Change: package soak and its command: hosts as processes on loopback, links through proxies, servers and the store as stand-ins; it compares what callers were told with what servers ran, and checks recovery. A question that many callers ask was quarantined for 30 s after two lost answers (494 refusals on one host). Now an upstream has to be unreachable after the loss, and a question that was answered anywhere is cleared. Ruled out: entries of drained servers (all were back in the log).

--- a/core/scatter/admission.go
+++ b/core/scatter/admission.go
@@ -1,8 +1,6 @@
 package scatter
 
-import (
-	"time"
-)
+import "time"
 
 // admission bounds the gathers that this host has under way at once, by what
 // their parts show of the upstreams' queues. What is beyond the bound is
@@ -42,9 +40,6 @@
 	return float64(running) < limit
 }
 
-// limits says that the bound was reached not long ago.
-func (a *admission) limits() bool { return a.limit < mostGathers/2 }
-
 // conclude learns from a gather, from the time until half of its parts were in
 // and the gathers that run beside it.
 func (a *admission) conclude(now time.Time, half, target time.Duration, running int) {
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -67,6 +67,9 @@
 	if !r.Outcome.SurelyNotRun() {
 		p.executed = true
 	}
+	if r.Outcome == Succeeded || r.Outcome == Failed {
+		e.questions.answered(c.request.Question)
+	}
 	switch r.Outcome {
 	case Succeeded:
 		usual.observe(latency)
@@ -89,6 +92,9 @@
 	case Unreached:
 		u.rest(now)
 		e.suspect(u, r)
+		if count := e.questions.unreached(now, u.ID); count > 0 {
+			e.note(Note{Decision: DecisionPoison, Service: u.Service, Upstream: u.ID, Parts: count, Version: e.Version()})
+		}
 	case Lost:
 		e.learnLost(now, a, r, ratio)
 	}
@@ -107,8 +113,8 @@
 		u.rest(now)
 		e.suspect(u, r)
 	}
-	if now.Before(c.deadline) && e.questions.lost(now, c.request.Question, u.ID) {
-		e.note(Note{Decision: DecisionPoison, RequestID: c.request.RequestID, Route: c.route.Name, Upstream: u.ID, Version: c.config.Version})
+	if now.Before(c.deadline) {
+		e.questions.lost(now, c.request.Question, u.ID)
 	}
 }
 
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -114,7 +114,7 @@
 		budgets:   map[core.ServiceID]*extraBudget{},
 		usual:     map[usualKey]*usualTime{},
 		waiting:   map[core.ServiceID][]*part{},
-		questions: questions{},
+		questions: newQuestions(),
 		splits:    map[*Route]*splitter{},
 		admission: newAdmission(),
 	}
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -72,7 +72,7 @@
 
 // interleave takes one host of each failure domain in turn.
 func interleave(hosts []Host) []Host {
-	order := func(id string) uint64 { return xxhash.Sum64String(id) }
+	order := xxhash.Sum64String
 	slices.SortFunc(hosts, func(a, b Host) int {
 		return cmp.Or(
 			cmp.Compare(order(string(a.Domain)), order(string(b.Domain))),
--- a/core/scatter/question.go
+++ b/core/scatter/question.go
@@ -1,65 +1,105 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
 )
 
 const (
-	// quarantineAfter upstreams that a question was lost at, it is not sent
+	// quarantineAfter upstreams that a question brought down, it is not sent
 	// again for quarantineFor.
 	quarantineAfter = 2
 	quarantineFor   = 30 * time.Second
-	// forgetLossAfter is how long a loss is held against a question.
-	forgetLossAfter = 30 * time.Second
+	// crashWindow is how long after a lost answer an upstream that cannot be
+	// reached counts as brought down by what was lost there.
+	crashWindow = 1500 * time.Millisecond
 	// maxQuestions bounds the questions that are remembered.
 	maxQuestions = 4096
+	// maxLosses bounds the losses that are held against one upstream.
+	maxLosses = 64
 )
 
-// questions remembers the questions whose requests were lost with the
-// connection to an upstream: one that crashes what runs it comes again.
-type questions map[core.Fingerprint]*lostQuestion
+// questions finds the questions that crash what runs them and come again. A
+// lost answer alone says little: the upstream has to be unreachable afterwards,
+// and a question that was answered anywhere is cleared.
+type questions struct {
+	suspects map[core.Fingerprint]*suspectQuestion
+	losses   map[core.UpstreamID][]loss
+}
 
-type lostQuestion struct {
-	upstreams []core.UpstreamID
-	last      time.Time
+type suspectQuestion struct {
+	broughtDown []core.UpstreamID
+	last        time.Time
 }
 
-// lost notes that a question got no answer from an upstream and the
-// connection broke. It returns true when the question becomes quarantined.
-func (q questions) lost(now time.Time, question core.Fingerprint, at core.UpstreamID) bool {
-	known := q[question]
-	if known == nil || now.Sub(known.last) > forgetLossAfter {
-		if len(q) >= maxQuestions {
-			q.forget(now)
+// loss is an answer that did not come.
+type loss struct {
+	question core.Fingerprint
+	at       time.Time
+}
+
+func newQuestions() questions {
+	return questions{suspects: map[core.Fingerprint]*suspectQuestion{}, losses: map[core.UpstreamID][]loss{}}
+}
+
+// lost notes that a question has no answer from an upstream.
+func (q *questions) lost(now time.Time, question core.Fingerprint, at core.UpstreamID) {
+	recent := slices.DeleteFunc(q.losses[at], func(l loss) bool { return now.Sub(l.at) > crashWindow })
+	if len(recent) < maxLosses {
+		recent = append(recent, loss{question, now})
+	}
+	q.losses[at] = recent
+}
+
+// unreached notes that an upstream cannot be reached: what was lost there just
+// before may have brought it down. It returns how many questions are
+// quarantined for it.
+func (q *questions) unreached(now time.Time, at core.UpstreamID) (quarantined int) {
+	for _, l := range q.losses[at] {
+		if now.Sub(l.at) <= crashWindow && q.accuse(now, l.question, at) {
+			quarantined++
 		}
-		known = &lostQuestion{}
-		q[question] = known
 	}
-	known.last = now
-	for _, id := range known.upstreams {
-		if id == at {
-			return false
+	delete(q.losses, at)
+	return quarantined
+}
+
+// accuse returns true when the question becomes quarantined.
+func (q *questions) accuse(now time.Time, question core.Fingerprint, at core.UpstreamID) bool {
+	s := q.suspects[question]
+	if s == nil || now.Sub(s.last) > quarantineFor {
+		if len(q.suspects) >= maxQuestions {
+			q.forget(now)
 		}
+		s = &suspectQuestion{}
+		q.suspects[question] = s
+	}
+	s.last = now
+	if slices.Contains(s.broughtDown, at) {
+		return false
 	}
-	known.upstreams = append(known.upstreams, at)
-	return len(known.upstreams) == quarantineAfter
+	s.broughtDown = append(s.broughtDown, at)
+	return len(s.broughtDown) == quarantineAfter
 }
 
-func (q questions) quarantined(now time.Time, question core.Fingerprint) bool {
-	known := q[question]
-	return known != nil && len(known.upstreams) >= quarantineAfter && now.Sub(known.last) < quarantineFor
+// answered clears a question: an upstream ran it and lives.
+func (q *questions) answered(question core.Fingerprint) { delete(q.suspects, question) }
+
+func (q *questions) quarantined(now time.Time, question core.Fingerprint) bool {
+	s := q.suspects[question]
+	return s != nil && len(s.broughtDown) >= quarantineAfter && now.Sub(s.last) < quarantineFor
 }
 
 // forget makes room: it drops what is old, or else everything.
-func (q questions) forget(now time.Time) {
-	for question, known := range q {
-		if now.Sub(known.last) > forgetLossAfter {
-			delete(q, question)
+func (q *questions) forget(now time.Time) {
+	for question, s := range q.suspects {
+		if now.Sub(s.last) > quarantineFor {
+			delete(q.suspects, question)
 		}
 	}
-	if len(q) >= maxQuestions {
-		clear(q)
+	if len(q.suspects) >= maxQuestions {
+		clear(q.suspects)
 	}
 }
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -47,7 +47,6 @@
 	idle   map[poolKey][]*conn
 	inUse  map[poolKey]int
 	opened uint64
-	closed bool
 }
 
 // poolKey is an upstream at an address: a start under the same ID may be
@@ -131,10 +130,6 @@
 	if c == nil {
 		return
 	}
-	if p.closed {
-		_ = c.raw.Close()
-		return
-	}
 	c.restsAt = now
 	p.idle[key] = append(p.idle[key], c)
 }
@@ -156,19 +151,6 @@
 	}
 }
 
-// close closes all idle connections and those that come back.
-func (p *pools) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for key, idle := range p.idle {
-		for _, c := range idle {
-			_ = c.raw.Close()
-		}
-		delete(p.idle, key)
-	}
-}
-
 // counts returns the connections opened so far, and those open now.
 func (p *pools) counts() (opened uint64, open int) {
 	p.mu.Lock()
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -23,7 +23,6 @@
 
 	mu      sync.Mutex
 	running map[uint64]*sending
-	done    sync.WaitGroup
 }
 
 // sending is one send that runs.
@@ -49,7 +48,7 @@
 	s.running[send.Attempt] = state
 	s.mu.Unlock()
 	s.pools.begin(send)
-	s.done.Go(func() {
+	go func() {
 		replied, c := s.run(send, forward, state)
 		s.mu.Lock()
 		delete(s.running, send.Attempt)
@@ -61,7 +60,7 @@
 		}
 		s.pools.end(send, c, time.Now())
 		s.report(replied)
-	})
+	}()
 }
 
 // cancel ends an attempt by closing its connection.
@@ -169,21 +168,6 @@
 	}
 }
 
-// close waits for the running sends, at most until ctx ends, and closes the
-// idle connections.
-func (s *sender) close(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		s.done.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-	s.pools.close()
-}
-
 // sweep closes connections that rested too long, until ctx ends.
 func (s *sender) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
--- /dev/null
+++ b/soak/fleet.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirebeam/samphirebeam/standin/platformstub"
+	"github.com/samphirebeam/samphirebeam/standin/serverstub"
+)
+
+const (
+	// shards of shardServers each are what gathers ask; orderServers take the
+	// requests that must not run twice.
+	shards       = 3
+	shardServers = 2
+	orderServers = 2
+	// contact, in milliseconds, is the time of contact that hosts are given;
+	// grace the time until the kill.
+	contactMs = 1000
+	graceS    = 2
+	// workTime is how long a server works on a request.
+	workTime = 3 * time.Millisecond
+)
+
+// fleet is everything that one soak runs.
+type fleet struct {
+	program string
+	folder  string
+	store   *platformstub.Stub
+	web     *httptest.Server
+	hosts   []*host
+	servers []*server
+
+	mu      sync.Mutex
+	version int
+	sets    [][]string // the shards of each version, from 1
+}
+
+// server is a stand-in behind a proxy.
+type server struct {
+	*serverstub.Server
+	id, service string
+	proxy       *proxy
+}
+
+// host is one process of the program under test.
+type host struct {
+	name, settings   string
+	callers, control string
+	readiness        string
+	store            *proxy
+	log              *os.File
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+func newFleet(program, folder string, hosts int) (*fleet, error) {
+	f := &fleet{program: program, folder: folder, store: platformstub.New()}
+	f.web = httptest.NewServer(f.store)
+	for i := range shards {
+		for j := range shardServers {
+			if err := f.addServer(fmt.Sprint("shard-", i), fmt.Sprintf("s%d-%d", i, j)); err != nil {
+				return f, err
+			}
+		}
+	}
+	for j := range orderServers {
+		if err := f.addServer("orders", fmt.Sprint("o", j)); err != nil {
+			return f, err
+		}
+	}
+	if err := f.configure(); err != nil {
+		return f, err
+	}
+	for i := range hosts {
+		if err := f.addHost(i); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) addServer(service, id string) error {
+	body := []byte(fmt.Sprintf("%-16s%-16s%-16s", id+"-3", id+"-1", id+"-2"))
+	stub, err := serverstub.Start(serverstub.Config{ID: id, Slots: 4, Queue: 24, Work: workTime, Body: body})
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(stub.Address())
+	if err != nil {
+		return err
+	}
+	s := &server{Server: stub, id: id, service: service, proxy: p}
+	f.servers = append(f.servers, s)
+	return f.register(s, "ready")
+}
+
+func (f *fleet) register(s *server, state string) error {
+	return f.store.Put("servers", s.id, map[string]any{
+		"service": s.service, "address": s.proxy.address(), "zone": "d1", "version": "v1", "max_concurrency": 4,
+		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+	})
+}
+
+// configure writes the next version, whose gather asks two shards or all.
+func (f *fleet) configure() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	set := []string{"shard-0", "shard-1", "shard-2"}[:2+f.version%2]
+	f.sets = append(f.sets, set)
+	route := map[string]any{"host": "soak", "timeout_ms": 2000, "target_latency_ms": 200, "priority": 1, "max_attempts": 2}
+	with := func(more map[string]any) map[string]any {
+		for key, value := range route {
+			more[key] = value
+		}
+		return more
+	}
+	var services []map[string]any
+	for _, name := range []string{"shard-0", "shard-1", "shard-2", "orders"} {
+		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 60})
+	}
+	return f.store.Put("config", "main", map[string]any{
+		"version": f.version, "services": services, "limits": map[string]any{"max_body_bytes": 1 << 20},
+		"routes": []any{
+			with(map[string]any{"name": "gather", "path_prefix": "/gather/", "kind": "idempotent", "gather": set, "top_k": 4, "min_coverage": 0.5}),
+			with(map[string]any{"name": "order", "path_prefix": "/order/", "kind": "non_idempotent", "service": "orders"}),
+		},
+	})
+}
+
+func (f *fleet) addHost(i int) error {
+	store, err := newProxy(strings.TrimPrefix(f.web.URL, "http://"))
+	if err != nil {
+		return err
+	}
+	h := &host{name: fmt.Sprint("host-", i), store: store}
+	for _, address := range []*string{&h.callers, &h.control, &h.readiness} {
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	power := 1.0
+	if i%2 == 1 {
+		power = 0.2
+	}
+	h.settings = filepath.Join(f.folder, h.name+".conf")
+	lines := []string{
+		"node_name=" + h.name, fmt.Sprint("zone=d", i%2+1), "ip=127.0.0.1", "listen_addrs.front=" + h.callers,
+		"listen_addrs.ready=" + h.readiness, "listen_addrs.control=" + h.control, "internal_port_range=1,2",
+		"platform.address=" + store.address(), fmt.Sprint("limits.cpu_share=", power), "limits.cores=1", "limits.memory_mb=256",
+		fmt.Sprint("bounds.contact_ms=", contactMs), fmt.Sprint("bounds.grace_s=", graceS),
+		"bounds.retry_budget_ratio=0.2", "bounds.retry_slack=56", "bounds.retry_window_s=10",
+	}
+	if err := os.WriteFile(h.settings, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	if h.log, err = os.Create(filepath.Join(f.folder, h.name+".log")); err != nil {
+		return eris.Wrap(err, "log")
+	}
+	f.hosts = append(f.hosts, h)
+	return h.start(f.program, f.folder)
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// start runs the program; a process that runs already is left alone.
+func (h *host) start(program, folder string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process != nil {
+		return nil
+	}
+	config := filepath.Join(folder, "edge.yaml")
+	if err := os.WriteFile(config, []byte("metrics_port: 0\n"), 0o600); err != nil {
+		return eris.Wrap(err, "settings")
+	}
+	cmd := exec.Command(program, "run", "-config", config)
+	cmd.Env = append(os.Environ(), "SAMPHIREBEAM_BOOT="+h.settings)
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	if err := cmd.Start(); err != nil {
+		return eris.Wrap(err, "start "+h.name)
+	}
+	ended := make(chan struct{})
+	h.process, h.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait() // the soak checks what callers see, not how it ended
+		h.mu.Lock()
+		h.process = nil
+		h.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, if it runs, and returns the channel
+// that closes when it has ended.
+func (h *host) signal(s syscall.Signal) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == nil {
+		return nil
+	}
+	_ = h.process.Process.Signal(s) // it may have ended by itself
+	return h.ended
+}
+
+func (h *host) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + h.readiness + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// close ends what the soak started.
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		h.signal(syscall.SIGCONT)
+		if ended := h.signal(syscall.SIGKILL); ended != nil {
+			<-ended
+		}
+		h.store.close()
+		_ = h.log.Close()
+	}
+	for _, s := range f.servers {
+		s.proxy.close()
+		s.Close()
+	}
+	f.web.CloseClientConnections()
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,37 @@
+package soak_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/soak"
+)
+
+// seeds are those that failed once, with the cause, and one that did not.
+var seeds = map[uint64]string{
+	100: "a question that many callers ask was quarantined after two lost answers",
+	1:   "a short run of fresh faults",
+}
+
+func TestSeeds(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "samphirebeam-edge")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/samphirebeam-edge").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for seed, cause := range seeds {
+		result, err := soak.Run(soak.Config{
+			Program: program, Folder: filepath.Join(t.TempDir(), "soak"), Seed: seed, Hosts: 5, Callers: 12, Faults: 6 * time.Second,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, broken := range result.Broken {
+			t.Errorf("seed %d (%s): %s\nfaults: %v", seed, cause, broken, result.Faults)
+		}
+		if result.Answered["order 200"] == 0 || result.Answered["gather 200"] == 0 {
+			t.Errorf("seed %d: nothing was served: %v", seed, result.Answered)
+		}
+	}
+}
