Scatter: upstreams that have not answered yet get one request at a time

Change: an upstream's window begins at 1 and grows with its answers. Ruled out: fewer idle connections (no effect on it). TestUnknownUpstreamGetsOneRequestFirst fails without it (2 at once).

--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -28,9 +28,9 @@
 	// probeEvery is the least time between two requests to an upstream that
 	// rests, when no other is left.
 	probeEvery = 50 * time.Millisecond
-	// firstWindow is the window of an upstream that was not heard of before;
-	// windowDecrease is what a shed request leaves of it.
-	firstWindow    = 64
+	// firstWindow is the window of an upstream that did not answer yet;
+	// windowDecrease is what a shed request leaves of a window.
+	firstWindow    = 1
 	windowDecrease = 0.7
 	// lostBeforeBackoff lost answers in a row make an upstream rest.
 	lostBeforeBackoff = 3
--- a/core/scatter/single_test.go
+++ b/core/scatter/single_test.go
@@ -243,3 +243,30 @@
 		t.Errorf("the upstream got until %v", deadline)
 	}
 }
+
+// TestUnknownUpstreamGetsOneRequestFirst replays a host that starts under load:
+// the upstreams, which may be cold, get more only as they answer.
+func TestUnknownUpstreamGetsOneRequestFirst(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	running, most := map[core.UpstreamID]int{}, 0
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		running[s.Target.ID]++
+		if r.now.Sub(epoch) < 10*ms {
+			most = max(most, running[s.Target.ID])
+		}
+		r.later.Add(r.now.Add(10*ms), func() { running[s.Target.ID]-- })
+		return 10 * ms, scatter.Succeeded
+	}
+	var calls []core.CallID
+	for range 12 {
+		calls = append(calls, r.ask(fetchPath))
+	}
+	r.run(time.Second)
+	if most != 1 {
+		t.Errorf("%d requests ran at an upstream that had not answered yet", most)
+	}
+	for _, call := range calls {
+		r.want(call, scatter.PassedOn)
+	}
+}
