Scatter: a standing upstream costs less, the admission recovers sooner

Change: standing still costs 4 usual times in the choice, not 12; each gather that is not congested adds 0.5 to the bound.

--- a/core/scatter/admission.go
+++ b/core/scatter/admission.go
@@ -22,8 +22,10 @@
 	// upstreams' queues are long.
 	congestedShare = 0.8
 	// limitDecrease is what a congested gather leaves of the limit, at most
-	// once in the time that its target allows.
+	// once in the time that its target allows; limitIncrease is what any other
+	// adds.
 	limitDecrease = 0.8
+	limitIncrease = 0.5
 	// lessUrgentShare of the limit is open to routes that are not the most
 	// urgent ones.
 	lessUrgentShare = 0.9
@@ -44,7 +46,7 @@
 // and the gathers that run beside it.
 func (a *admission) conclude(now time.Time, half, target time.Duration, running int) {
 	if float64(half) <= congestedShare*float64(target) {
-		a.limit = min(mostGathers, a.limit+1/a.limit)
+		a.limit = min(mostGathers, a.limit+limitIncrease)
 		return
 	}
 	if now.Sub(a.cutAt) < target {
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -47,7 +47,7 @@
 	minStall    = 30 * time.Millisecond
 	// stalledCost is added to the cost of an upstream that stands still, in
 	// usual times.
-	stalledCost = 12.0
+	stalledCost = 4.0
 	// failureCost weighs the share of failed answers against time.
 	failureCost = 8.0
 	// remoteCost weighs traffic to another failure domain against time.
