Registry: pauses and lists are bounded by the time of contact

Pauses between calls that fail grew to 1.5 s, and a reader that had not listed yet waited 1.5 s for a list, both longer than the second that the test's hosts have. Change: pauses end at a quarter of the time of contact, a reader's list at three eighths of it (1 s and 1.5 s on the first sites, as before but for the jitter). Ruled out: load; the log shows the pauses.

--- a/edge/registry.go
+++ b/edge/registry.go
@@ -23,12 +23,14 @@
 	// batchChanges is the pause after changes, so that those that follow each
 	// other closely come with one call.
 	batchChanges = 200 * time.Millisecond
-	// listTimeout ends the reading of a list.
+	// listShare of the time of contact ends the reading of a list by a reader,
+	// listTimeout any other.
+	listShare   = 0.375
 	listTimeout = 1500 * time.Millisecond
-	// firstStoreBackoff is the pause after a call that failed; it doubles up to
-	// maxStoreBackoff.
-	firstStoreBackoff = 100 * time.Millisecond
-	maxStoreBackoff   = time.Second
+	// firstStoreBackoff is the longest pause after a call that failed; it
+	// doubles up to maxBackoffShare of the time of contact.
+	firstStoreBackoff = 200 * time.Millisecond
+	maxBackoffShare   = 0.25
 )
 
 // storeReader is the duty that reads one feed from the store.
@@ -77,7 +79,7 @@
 		defer cancel()
 		return r.hub.feed.Watch(ctx, revision, wait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(listShare*float64(r.contact)))
 	defer cancel()
 	return r.hub.feed.List(ctx)
 }
@@ -101,9 +103,10 @@
 	}
 	r.up = false
 	r.hub.setStoreUp(false)
-	backoff := min(maxStoreBackoff, firstStoreBackoff<<min(r.failures, 8))
+	longest := time.Duration(maxBackoffShare * float64(r.contact))
+	backoff := min(longest, firstStoreBackoff<<min(r.failures, 8))
 	r.failures++
-	pause(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
+	pause(ctx, time.Duration(float64(backoff)*(0.5+0.5*rand.Float64())))
 }
 
 // pause sleeps, or returns early when ctx ends.
