Soak: moved below standin, where the platform's callers and servers are

Cause: the soak's callers speak the platform's wire, whose names stand only in platform and standin. Change: the package moved, nothing else. Measured: nothing.

--- a/cmd/samphirebeam-soak/main.go
+++ b/cmd/samphirebeam-soak/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"github.com/samphirebeam/samphirebeam/soak"
+	"github.com/samphirebeam/samphirebeam/standin/soak"
 )
 
 func main() {
--- a/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/samphirebeam/samphirebeam/soak"
+	"github.com/samphirebeam/samphirebeam/standin/soak"
 )
 
 // seeds are those that failed once, with the cause, and one that did not.
@@ -17,7 +17,7 @@
 
 func TestSeeds(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "samphirebeam-edge")
-	if out, err := exec.Command("go", "build", "-o", program, "../cmd/samphirebeam-edge").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/samphirebeam-edge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for seed, cause := range seeds {
