Read-through: unsent requests blame nobody, fields that nothing reads

Cause: a send whose caller had left was reported as unreached, and made its upstream rest (seen as upstream_suspected with 'the caller left' and 'context canceled'). Ruled out: a longer rest for such upstreams, which hid it. Measured: TestUnsentRequestBlamesNobody fails without it.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -90,6 +90,9 @@
 		u.restsUntil = now.Add(misdirectedBackoff)
 		e.suspect(u, r)
 	case Unreached:
+		if c.done {
+			return // its caller left before it was sent
+		}
 		u.rest(now)
 		e.suspect(u, r)
 		if count := e.questions.unreached(now, u.ID); count > 0 {
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -57,7 +57,6 @@
 // upstream is what this host believes of one upstream.
 type upstream struct {
 	Upstream
-	seenAt time.Time
 	// missingSince is when the entry was found missing; zero while it stands.
 	missingSince time.Time
 	removed      bool
@@ -123,7 +122,6 @@
 		at, _ := slices.BinarySearchFunc(list, u, byID)
 		d.byService[entry.Service] = slices.Insert(list, at, u)
 		d.warm(u, now, entry)
-		u.seenAt = now
 		return DecisionJoin
 	}
 	decision := Decision("")
@@ -132,7 +130,7 @@
 	}
 	u.missingSince = time.Time{}
 	d.warm(u, now, entry)
-	u.Upstream, u.seenAt = entry, now
+	u.Upstream = entry
 	return decision
 }
 
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -35,8 +35,6 @@
 type Replied struct {
 	Attempt uint64
 	Outcome Outcome
-	// Leaving says that the upstream announced its end.
-	Leaving bool
 	// Payload is the upstream's answer; the engine hands it on unread.
 	Payload any
 	// Cause describes a failure, for the log.
--- a/core/scatter/single_test.go
+++ b/core/scatter/single_test.go
@@ -270,3 +270,19 @@
 		r.want(call, scatter.PassedOn)
 	}
 }
+
+// TestUnsentRequestBlamesNobody: a request whose caller left before it was sent
+// says nothing of the upstream.
+func TestUnsentRequestBlamesNobody(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return ms, scatter.Unreached }
+	call := r.ask(fetchPath)
+	r.step(scatter.CallerGone{Call: call})
+	r.run(10 * ms)
+	for _, n := range r.notes {
+		if n.Decision == scatter.DecisionSuspect {
+			t.Errorf("%s rests: %s", n.Upstream, n.Detail)
+		}
+	}
+}
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -99,7 +99,7 @@
 		c.abort()
 		return failed(scatter.Lost, err)
 	}
-	replied := scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Leaving: reply.Close, Payload: reply}
+	replied := scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Payload: reply}
 	if reply.Close || !sound {
 		c.abort()
 		return replied, nil
