Gateway: a pause of all upstreams no longer makes hosts refuse queries

Cause of the listed red (host_frozen_past_its_lease, 103 DeadlineUnreachable): admission took mean plus twice the deviation of the service times. When the machine gives the stand-in no time, the few queries that each host has under way are all observed at 0.5 to 0.9 s, the estimate passes the callers' second, and every host refuses everything until the estimate fades 0.5 s later: 16 callers times 6 to 7 refusals. Change: admission goes by the median, as the owner does; the estimator is one type for both (core/estimate). Ruled out: gaps of cold starts (the limiter's spacing is right), records of attempts sent to the frozen host, the freeze itself (two late refusals at most).

--- a/core/gateway/load.go
+++ b/core/gateway/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/estimate"
 	"github.com/samphirebeam/samphirebeam/peerpb"
 )
 
@@ -26,10 +27,12 @@
 	sent []time.Time
 }
 
-// serviceTime follows the mean and the mean deviation of a service's times.
+// serviceTime is what sub-queries of a service take. Its median decides on
+// admission: a few stragglers, as a pause of all upstreams makes them, move
+// only the mean.
 type serviceTime struct {
-	mean, deviation time.Duration
-	at              time.Time // of the last observation
+	estimate.Service
+	at time.Time // of the last observation
 }
 
 // fadeAfter is the age from which a service's usual time loses half of itself
@@ -107,24 +110,22 @@
 func (l *loads) observe(now time.Time, id core.ServiceID, took time.Duration) {
 	service := l.services[id]
 	if service == nil {
-		l.services[id] = &serviceTime{mean: took, deviation: took / 2, at: now}
-		return
+		service = &serviceTime{}
+		l.services[id] = service
 	}
 	service.at = now
-	difference := took - service.mean
-	service.mean += difference / 16
-	service.deviation += (difference.Abs() - service.deviation) / 16
+	service.Observe(took)
 }
 
-// usual returns a time within which most sub-queries of a service are served;
-// it fades while nothing is observed.
+// usual returns the time within which half of a service's sub-queries are
+// served; it fades while nothing is observed.
 func (l *loads) usual(now time.Time, id core.ServiceID) time.Duration {
 	service := l.services[id]
 	if service == nil {
 		return 0
 	}
 	halvings := min(now.Sub(service.at)/fadeAfter, 62)
-	return (service.mean + 2*service.deviation) >> max(0, halvings)
+	return service.Median >> max(0, halvings)
 }
 
 func (l *loads) replica(now time.Time, service core.ServiceID, id core.UpstreamID, owner core.HostID) core.Replica {
@@ -154,7 +155,7 @@
 	if free > 0 {
 		waiting = max(0, waiting-free+1)
 	}
-	return wait + times.mean*time.Duration(waiting)/time.Duration(load.limit)
+	return wait + times.Mean*time.Duration(waiting)/time.Duration(load.limit)
 }
 
 func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/core/gateway/reply.go
+++ b/core/gateway/reply.go
@@ -150,12 +150,16 @@
 	g.fail(now, a, o, out)
 }
 
+// restartCaution times the expected time must be left for a restart, which
+// drops the parts that are in.
+const restartCaution = 2
+
 func (g *Gateway) restartPlan(now time.Time, f *flight) *plan {
 	if f.restarts >= g.config.MaxRestarts {
 		return nil
 	}
 	next := g.planner.another(now, f.plan)
-	if next == nil || now.Add(g.expected(now, next)).After(f.deadline) {
+	if next == nil || now.Add(restartCaution*g.expected(now, next)).After(f.deadline) {
 		return nil
 	}
 	return next
--- a/core/owner/admit.go
+++ b/core/owner/admit.go
@@ -60,13 +60,13 @@
 		return kind, comeBackLater
 	}
 	wait := s.waitFor(now, s.ahead(a))
-	if now.Add(wait + s.service.median).After(a.deadline) {
+	if now.Add(wait + s.service.Median).After(a.deadline) {
 		return core.DeadlineUnreachable, wait
 	}
 	if len(s.queue) >= o.cfg.QueueLimit && !o.evict(now, a, out) {
 		return core.Overloaded, wait
 	}
-	a.startBy = a.deadline.Add(-s.service.median)
+	a.startBy = a.deadline.Add(-s.service.Median)
 	return core.OK, 0
 }
 
--- a/core/owner/dispatch.go
+++ b/core/owner/dispatch.go
@@ -77,7 +77,7 @@
 	if kind := o.rights(now, a); kind != core.OK {
 		return kind
 	}
-	if now.Add(a.share.service.median).After(a.deadline) {
+	if now.Add(a.share.service.Median).After(a.deadline) {
 		return core.DeadlineUnreachable
 	}
 	return core.OK
@@ -95,7 +95,7 @@
 	if !needsExclusive(now, a) {
 		return core.OK
 	}
-	end := now.Add(a.share.service.median)
+	end := now.Add(a.share.service.Median)
 	if end.Before(o.cfg.Owners.ExclusiveUntil(a.share.up.ID)) {
 		return core.OK
 	}
--- a/core/owner/reply.go
+++ b/core/owner/reply.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/estimate"
 	"github.com/samphirebeam/samphirebeam/peerpb"
 )
 
@@ -104,7 +105,7 @@
 		}
 	}
 	if r.Kind == core.OK {
-		s.service.observe(took)
+		s.service.Observe(took)
 		s.limiter.Succeeded(now, took)
 		o.absolve(now, a, out)
 	} else {
@@ -166,7 +167,7 @@
 	s.conns = connections{
 		seen: true, instance: instance, previous: s.conns.instance, ending: s.conns.ending,
 	}
-	s.service = serviceTime{}
+	s.service = estimate.Service{}
 	s.lostPrints = nil
 	s.drain = drain{}
 	s.limiter.Restarted(now)
--- a/core/owner/share.go
+++ b/core/owner/share.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/estimate"
 	"github.com/samphirebeam/samphirebeam/peerpb"
 )
 
@@ -16,7 +17,7 @@
 	// settling are the ends of the slots that attempts which were given up may
 	// still take, earliest first.
 	settling []time.Time
-	service  serviceTime
+	service  estimate.Service
 	conns    connections
 
 	// held and allowed are what the last look at the ownership and at the
@@ -107,7 +108,7 @@
 // service time.
 func (s *share) waitFor(now time.Time, ahead int) time.Duration {
 	limit, start := s.limiter.Limit(now)
-	wait := s.service.wait(len(s.running)+ahead, min(limit, s.cap()))
+	wait := s.service.Wait(len(s.running)+ahead, min(limit, s.cap()))
 	if s.conns.proven == 0 {
 		start = later(start, s.trialAt(now))
 	}
--- a/processtest/fault_test.go
+++ b/processtest/fault_test.go
@@ -27,6 +27,7 @@
 var faults = []fault{
 	{"host killed", killHost, 10 * time.Second, 2, 5},
 	{"host frozen past its lease", freezeHost, 10 * time.Second, 2, 5},
+	{"upstreams paused", pauseUpstreams, 5 * time.Second, -1, 32},
 	{"planned stop", stopHost, 5 * time.Second, -1, 5},
 	{"upstream restarted", crashUpstream, 8 * time.Second, -1, 5},
 	{"upstream connections cut", cutConnections, 3 * time.Second, -1, 50},
@@ -102,6 +103,23 @@
 	signal(t, f.Hosts[2], syscall.SIGCONT)
 }
 
+// pauseUpstreams stops all upstreams for a little less than the callers'
+// deadline, some times in a row, as a machine without processor time for them
+// does. To each host the few queries under way look slow; each caller may be
+// refused twice meanwhile.
+func pauseUpstreams(t *testing.T, f *fleet.Fleet) {
+	for range 6 {
+		if err := f.Standin.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(750 * time.Millisecond)
+		if err := f.Standin.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
 func stopHost(t *testing.T, f *fleet.Fleet) {
 	signal(t, f.Hosts[2], syscall.SIGTERM)
 	if err := f.Hosts[2].Wait(30 * time.Second); err != nil {
