Scatter: an upstream stands still by the usual time of its own requests

Cause: an upstream counted as standing still when its oldest request was older than three times the usual time of the route that asked. Change: each attempt notes when it is overdue by its own route's usual time. TestQuickGatherHedgesBesideLongRequests failed first. Ruled out: nothing else changed.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -251,14 +251,12 @@
 func (e *Engine) hedge(now time.Time, p *part) {
 	c := p.call
 	service := c.config.Services[p.service]
-	usual := e.usualOf(c.route, p.service).estimate
 	u, _ := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		tried:       p.tried,
 		connections: e.connections(service),
-		usual:       usual,
 	})
-	if u == nil || u.stalled(now, usual) || now.Before(u.restsUntil) {
+	if u == nil || u.stalled(now) || now.Before(u.restsUntil) {
 		return
 	}
 	e.start(now, p, u, service)
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -167,12 +167,10 @@
 		return
 	}
 	service := c.config.Services[p.service]
-	usual := e.usualOf(c.route, p.service)
 	u, busy := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		tried:       p.tried,
 		connections: e.connections(service),
-		usual:       usual.estimate,
 	})
 	switch {
 	case u != nil:
@@ -188,6 +186,7 @@
 	c := p.call
 	e.sequence++
 	a := &attempt{id: e.sequence, part: p, to: u, sentAt: now, extra: p.arrivals() > 0}
+	a.overdueAt = now.Add(max(minStall, stallFactor*e.usualOf(c.route, p.service).estimate))
 	if a.extra {
 		e.budget(p.service).extras.add(now)
 		c.extras++
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -41,7 +41,7 @@
 	slownessHalfLife = 1500 * time.Millisecond
 	// maxSlowness bounds the effect of one observation.
 	maxSlowness = 20.0
-	// stallFactor times the usual time without an answer, and at least
+	// stallFactor times a route's usual time without an answer, and at least
 	// minStall, make an upstream count as standing still.
 	stallFactor = 3
 	minStall    = 30 * time.Millisecond
@@ -263,8 +263,6 @@
 	// connections is the most requests that this host may have at one
 	// upstream.
 	connections int
-	// usual is the usual latency of the request.
-	usual time.Duration
 }
 
 // pick returns the upstream of a service with the least expected time for a
@@ -290,7 +288,7 @@
 			busy = true
 			continue
 		}
-		if cost := d.cost(now, u, l.usual); cost < bestCost {
+		if cost := d.cost(now, u); cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
@@ -318,11 +316,11 @@
 }
 
 // cost is the expected time of a new request in usual times.
-func (d *directory) cost(now time.Time, u *upstream, usual time.Duration) float64 {
+func (d *directory) cost(now time.Time, u *upstream) float64 {
 	slots := float64(max(1, u.Slots))
 	cost := u.slownessAt(now) * (1 + float64(len(u.running))/slots)
 	cost += failureCost * u.failing * u.fade(now)
-	if u.stalled(now, usual) {
+	if u.stalled(now) {
 		cost += stalledCost
 	}
 	if u.Domain != d.domain {
@@ -331,13 +329,10 @@
 	return cost + u.tie
 }
 
-// stalled says that the oldest running request is overdue, with no answer
-// since it was sent.
-func (u *upstream) stalled(now time.Time, usual time.Duration) bool {
-	if len(u.running) == 0 {
-		return false
-	}
-	return now.Sub(u.running[0].sentAt) > max(minStall, stallFactor*usual)
+// stalled says that a running request is overdue by the usual time of its own
+// route: a long request of a slow route does not make an upstream stand still.
+func (u *upstream) stalled(now time.Time) bool {
+	return slices.ContainsFunc(u.running, func(a *attempt) bool { return now.After(a.overdueAt) })
 }
 
 func (u *upstream) fade(now time.Time) float64 {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -98,8 +98,11 @@
 	part   *part
 	to     *upstream
 	sentAt time.Time
-	extra  bool
-	notRun bool // known once it has ended
+	// overdueAt is when its upstream counts as standing still if it has not
+	// answered; it depends on the route's usual time.
+	overdueAt time.Time
+	extra     bool
+	notRun    bool // known once it has ended
 }
 
 // New returns an Engine that knows no configuration.
--- a/core/scatter/gather_test.go
+++ b/core/scatter/gather_test.go
@@ -45,6 +45,43 @@
 	}
 }
 
+// TestQuickGatherHedgesBesideLongRequests: an upstream that works on a request
+// of a slower route does not stand still, and takes the hedge of a quick one.
+func TestQuickGatherHedgesBesideLongRequests(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	warm := func(path string, latency time.Duration) {
+		r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return latency, scatter.Succeeded }
+		for range 40 { // the windows of the upstreams open
+			r.ask(path)
+			r.ask(path)
+			r.run(2 * latency)
+		}
+	}
+	warm(quickPath, 5*ms)
+	warm(gatherPath, 25*ms)
+	var long core.UpstreamID
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		switch {
+		case s.Target.Service != "shard02":
+			return 5 * ms, scatter.Succeeded
+		case long == "":
+			long = s.Target.ID
+			return 85 * ms, scatter.Succeeded
+		case s.Target.ID == long:
+			return 5 * ms, scatter.Succeeded
+		}
+		return 200 * ms, scatter.Succeeded
+	}
+	r.ask(gatherPath)
+	r.run(31 * ms)
+	call := r.ask(quickPath)
+	r.run(60 * ms)
+	if a := r.want(call, scatter.Gathered); a.Missing != 0 {
+		t.Errorf("%d parts are missing: the sound twin was not asked", a.Missing)
+	}
+}
+
 // TestGatherAnswersWithPartsAtHand replays a shard whose upstreams all stand
 // still: the answer leaves before the target without it.
 func TestGatherAnswersWithPartsAtHand(t *testing.T) {
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -149,10 +149,12 @@
 	return count
 }
 
-// The routes of the test configuration: a gather over shards, a request that
+// The routes of the test configuration: a gather over shards, a quicker one
+// over the same, a request that
 // may be repeated, one that may not, and one that is split.
 const (
 	gatherPath = "/gather/"
+	quickPath  = "/quick/"
 	fetchPath  = "/fetch/"
 	orderPath  = "/order/"
 	splitPath  = "/split/"
@@ -184,8 +186,11 @@
 		add(id)
 		upstreams = append(upstreams, pair(id)...)
 	}
+	quick := *gather
+	quick.Name, quick.Prefix, quick.Target, quick.Priority = "quick", quickPath, 60*ms, 2
 	routes := []*scatter.Route{
 		gather,
+		&quick,
 		plain("fetch", fetchPath, true, scatter.Target{Service: "files", Weight: 1}),
 		plain("order", orderPath, false, scatter.Target{Service: "orders", Weight: 1}),
 		plain("split", splitPath, true, scatter.Target{Service: "files", Weight: 3}, scatter.Target{Service: "orders", Weight: 1}),
