Scatter: parts of a gather travel together through a relay in the upstream's domain

Each part in another domain carried a whole request and a whole answer, though only its greatest records matter. Change: the parts of a call whose upstreams are in another domain go in one call to a gatherer there, which sends each to the upstream chosen here and returns the greatest records, those of the first while together. The relay decides nothing; what it does not take is sent directly; one that is silent or fails rests. Connections to an upstream are shared unequally: more for hosts in its domain.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -39,6 +39,12 @@
 	Deadline time.Time
 	// Repeatable requests may use a connection that could be about to close.
 	Repeatable bool
+	// Via is the host that relays the send, together with the others of its
+	// call; the zero value sends directly. It holds answers back for Hold and
+	// returns the Top greatest records of each.
+	Via  Host
+	Hold time.Duration
+	Top  int
 }
 
 // Cancel ends a running attempt, whose caller is gone.
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -61,7 +61,13 @@
 // learn updates what is believed of the upstream and the question.
 func (e *Engine) learn(now time.Time, a *attempt, r Replied) {
 	p, u, c := a.part, a.to, a.part.call
+	if a.via != nil {
+		e.learnRelay(now, a, r)
+	}
 	latency := now.Sub(a.sentAt)
+	if r.Took > 0 {
+		latency = r.Took
+	}
 	usual := e.usualOf(c.route, p.service)
 	ratio := float64(latency) / float64(usual.estimate)
 	if !r.Outcome.SurelyNotRun() {
@@ -70,7 +76,11 @@
 	if r.Outcome == Succeeded || r.Outcome == Failed {
 		e.questions.answered(c.request.Question)
 	}
+	if r.RelayFault {
+		return // it says nothing of the upstream
+	}
 	switch r.Outcome {
+	case NotRelayed:
 	case Succeeded:
 		usual.observe(latency)
 		u.observe(now, ratio, false)
@@ -78,7 +88,7 @@
 			e.noteUpstream(u, DecisionTrust)
 		}
 		u.trust()
-		u.grow(e.connections(c.config.Services[p.service]))
+		u.grow(e.sharesOf(c.config.Services[p.service]).of(u.Domain, e.fleet.domain))
 	case Failed:
 		u.lostInARow = 0
 		u.observe(now, ratio, true)
@@ -132,7 +142,10 @@
 	if r.Outcome == Failed {
 		c.failure = r.Payload
 	}
-	if r.Outcome == Unreached {
+	if r.Outcome == NotRelayed {
+		p.notRelayed(a)
+	}
+	if r.Outcome == Unreached || r.Outcome == NotRelayed {
 		// It did not arrive: the next attempt is the first arrival.
 		p.attempts = slices.DeleteFunc(p.attempts, func(other *attempt) bool { return other == a })
 	}
@@ -254,7 +267,7 @@
 	u, _ := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		tried:       p.tried,
-		connections: e.connections(service),
+		connections: e.sharesOf(service),
 	})
 	if u == nil || u.stalled(now) || now.Before(u.restsUntil) {
 		return
@@ -272,6 +285,7 @@
 		newest := p.attempts[len(p.attempts)-1]
 		usual := e.usualOf(c.route, p.service).estimate
 		if now.Sub(newest.sentAt) > hedgeFactor*usual {
+			e.suspectRelay(now, newest, usual)
 			late = append(late, p)
 		}
 	}
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -62,9 +62,7 @@
 	}
 	e.calls[a.Call] = c
 	e.schedule(now, c)
-	for _, p := range c.parts {
-		e.send(now, p)
-	}
+	e.sendAll(now, c)
 	e.progress(now, c)
 }
 
@@ -170,7 +168,7 @@
 	u, busy := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		tried:       p.tried,
-		connections: e.connections(service),
+		connections: e.sharesOf(service),
 	})
 	switch {
 	case u != nil:
@@ -186,7 +184,8 @@
 	c := p.call
 	e.sequence++
 	a := &attempt{id: e.sequence, part: p, to: u, sentAt: now, extra: p.arrivals() > 0}
-	a.overdueAt = now.Add(max(minStall, stallFactor*e.usualOf(c.route, p.service).estimate))
+	usual := e.usualOf(c.route, p.service).estimate
+	a.overdueAt = now.Add(max(minStall, stallFactor*usual))
 	if a.extra {
 		e.budget(p.service).extras.add(now)
 		c.extras++
@@ -200,14 +199,21 @@
 	p.waiting = false
 	e.attempts[a.id] = a
 	e.stats.Sends++
-	e.out.Sends = append(e.out.Sends, Send{
+	send := Send{
 		Attempt:     a.id,
 		Call:        c.id,
 		Target:      u.Upstream,
-		Connections: e.connections(service),
+		Connections: e.sharesOf(service).of(u.Domain, e.fleet.domain),
 		Deadline:    c.deadline,
 		Repeatable:  c.route.Repeatable,
-	})
+	}
+	if a.via = e.relayFor(now, c, u.Domain); a.via != nil {
+		a.via.relay.running++
+		e.stats.Relayed++
+		send.Via, send.Hold, send.Top = a.via.Host, e.hold(c.route, usual), c.route.TopRecords
+		send.Connections = e.sharesOf(service).of(u.Domain, u.Domain)
+	}
+	e.out.Sends = append(e.out.Sends, send)
 }
 
 // arrivals counts the attempts that reached an upstream or may reach one.
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -260,9 +260,8 @@
 type limits struct {
 	service Service
 	tried   []*upstream
-	// connections is the most requests that this host may have at one
-	// upstream.
-	connections int
+	// connections bounds the requests that this host may have at one upstream.
+	connections connectionShares
 }
 
 // pick returns the upstream of a service with the least expected time for a
@@ -284,7 +283,7 @@
 			}
 			continue
 		}
-		if len(u.running) >= min(l.connections, int(u.window)) || !d.coldAllows(now, u, l.service) {
+		if len(u.running) >= min(l.connections.of(u.Domain, d.domain), int(u.window)) || !d.coldAllows(now, u, l.service) {
 			busy = true
 			continue
 		}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -19,6 +19,9 @@
 	// Hosts is how many hosts are assumed to share the budgets until they have
 	// been counted.
 	Hosts int
+	// Relay lets the parts of a gather travel through hosts in the upstreams'
+	// failure domains.
+	Relay bool
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -50,8 +53,8 @@
 
 // Stats counts decisions since the start.
 type Stats struct {
-	Requests, Answered, Gathered, Refused, Failed, TimedOut, NoRoute uint64
-	Sends, Hedges, Retries, ExtraDenied, Late, Partial, CallersGone  uint64
+	Requests, Answered, Gathered, Refused, Failed, TimedOut, NoRoute         uint64
+	Sends, Relayed, Hedges, Retries, ExtraDenied, Late, Partial, CallersGone uint64
 }
 
 // firing runs when a timer is due.
@@ -72,6 +75,9 @@
 	// halfAt is when half of the parts were in.
 	halfAt time.Time
 	done   bool
+	// relays are the hosts through which parts travel, by failure domain, while
+	// all parts are sent; nil otherwise.
+	relays map[core.DomainID]*peer
 	timers []*schedule.Timer[firing]
 	// failure is the last failure answer of an upstream, to pass on.
 	failure any
@@ -101,8 +107,10 @@
 	// overdueAt is when its upstream counts as standing still if it has not
 	// answered; it depends on the route's usual time.
 	overdueAt time.Time
-	extra     bool
-	notRun    bool // known once it has ended
+	// via is the host that relays the attempt; nil is none.
+	via    *peer
+	extra  bool
+	notRun bool // known once it has ended
 }
 
 // New returns an Engine that knows no configuration.
@@ -275,13 +283,3 @@
 	}
 	return b
 }
-
-// connections is how many connections this host may hold to an upstream of a
-// service: an equal part of what the upstream takes, and at least one.
-func (e *Engine) connections(s Service) int {
-	hosts := e.fleet.gatherers()
-	if hosts == 0 {
-		hosts = max(1, e.options.Hosts)
-	}
-	return max(1, s.Connections/hosts)
-}
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -39,6 +39,11 @@
 	Payload any
 	// Cause describes a failure, for the log.
 	Cause string
+	// Took is how long the attempt took where a relay sent it; zero is the time
+	// since it was sent here.
+	Took time.Duration
+	// RelayFault says that the relay failed, not the upstream.
+	RelayFault bool
 }
 
 // ConfigSeen is a version of the configuration, which may be an old one.
@@ -128,14 +133,17 @@
 	Unreached
 	// Lost: the request was sent and has no answer; it may have run.
 	Lost
+	// NotRelayed: the host that should have relayed the request did not send
+	// it.
+	NotRelayed
 )
 
-var outcomeNames = [...]string{"succeeded", "failed", "not executed", "wrong instance", "unreached", "lost"}
+var outcomeNames = [...]string{"succeeded", "failed", "not executed", "wrong instance", "unreached", "lost", "not relayed"}
 
 // String returns the outcome as the log prints it.
 func (o Outcome) String() string { return outcomeNames[o] }
 
 // SurelyNotRun says that the attempt did not run and never will.
 func (o Outcome) SurelyNotRun() bool {
-	return o == NotExecuted || o == WrongInstance || o == Unreached
+	return o == NotExecuted || o == WrongInstance || o == Unreached || o == NotRelayed
 }
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -41,6 +41,7 @@
 	// overhead estimates the time of a handover apart from the host's own
 	// work: the way there and back, and what this host does for it.
 	overhead time.Duration
+	relay    relayLoad
 }
 
 const (
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -98,6 +98,8 @@
 	strong int // how many of ranked are strong
 	role   Role
 	peers  map[core.HostID]*peer
+	// gatherersIn counts the gatherers by failure domain.
+	gatherersIn map[core.DomainID]int
 }
 
 func newFleet(self core.HostID, domain core.DomainID) *fleet {
@@ -125,6 +127,10 @@
 		peers[h.ID] = p
 	}
 	f.peers = peers
+	f.gatherersIn = map[core.DomainID]int{}
+	for _, h := range ranked[:f.gatherers()] {
+		f.gatherersIn[h.Domain]++
+	}
 	return true
 }
 
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -104,6 +104,19 @@
 	p.inUse[keyOf(send.Target)]++
 }
 
+// beginWithin counts a send if the upstream has fewer connections in use than
+// the send allows.
+func (p *pools) beginWithin(send scatter.Send) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := keyOf(send.Target)
+	if p.inUse[key] >= send.Connections {
+		return false
+	}
+	p.inUse[key]++
+	return true
+}
+
 // makeRoom closes the oldest idle connection when one more would exceed the
 // limit.
 func (p *pools) makeRoom(send scatter.Send) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -101,6 +101,7 @@
 			Ratio: h.place.RetryRatio, Allowance: h.place.RetryAllowance, Window: h.place.RetryWindow,
 		},
 		AnswerMargin: h.settings.AnswerMargin,
+		Relay:        h.settings.RelayParts,
 		Hosts:        h.settings.AssumedHosts,
 		Random:       rand.Float64,
 	})
@@ -153,9 +154,13 @@
 
 // perform carries out what the core decided.
 func (h *Host) perform(now time.Time, actions *scatter.Actions) {
-	for _, send := range actions.Sends {
+	direct, through := relays(actions.Sends)
+	for _, send := range direct {
 		h.send(send)
 	}
+	for _, sends := range through {
+		h.relay(sends)
+	}
 	for _, cancel := range actions.Cancels {
 		h.sender.cancel(cancel.Attempt)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -47,7 +47,7 @@
 		logDropped: metrics.NewRegisteredCounter("log_lines_dropped", r),
 		outcomes:   map[scatter.Outcome]metrics.Counter{},
 	}
-	for o := scatter.Succeeded; o <= scatter.Lost; o++ {
+	for o := scatter.Succeeded; o <= scatter.NotRelayed; o++ {
 		m.outcomes[o] = metrics.NewRegisteredCounter("attempts_"+metricName(o.String()), r)
 	}
 	return m
@@ -107,7 +107,7 @@
 	for name, value := range map[string]uint64{
 		"requests": stats.Requests, "answered": stats.Answered, "gathered": stats.Gathered, "partial": stats.Partial,
 		"refused": stats.Refused, "failed": stats.Failed, "timed_out": stats.TimedOut, "no_route": stats.NoRoute,
-		"sends": stats.Sends, "hedges": stats.Hedges, "retries": stats.Retries, "extra_denied": stats.ExtraDenied,
+		"sends": stats.Sends, "relayed": stats.Relayed, "hedges": stats.Hedges, "retries": stats.Retries, "extra_denied": stats.ExtraDenied,
 		"late_replies": stats.Late, "callers_gone": stats.CallersGone,
 	} {
 		set(name, int64(value))
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -63,14 +63,52 @@
 	}()
 }
 
+// relay makes an attempt for another host, until ctx ends. It takes no more
+// connections to the upstream than the send allows.
+func (s *sender) relay(ctx context.Context, send scatter.Send, forward *platform.Forward) scatter.Replied {
+	if !s.pools.beginWithin(send) {
+		return scatter.Replied{Outcome: scatter.NotRelayed, Cause: "all connections are in use"}
+	}
+	state := &sending{}
+	stop := context.AfterFunc(ctx, func() { s.abandon(state) })
+	replied, c := s.run(send, forward, state)
+	if !stop() && c != nil {
+		c.abort()
+		c = nil
+	}
+	s.pools.end(send, c, time.Now())
+	return replied
+}
+
+// track lets cancel end attempts that run elsewhere.
+func (s *sender) track(sends []scatter.Send, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, send := range sends {
+		s.running[send.Attempt] = &sending{cancel: cancel}
+	}
+}
+
+func (s *sender) untrack(attempt uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, attempt)
+}
+
 // cancel ends an attempt by closing its connection.
 func (s *sender) cancel(attempt uint64) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	state := s.running[attempt]
-	if state == nil {
-		return
+	s.mu.Unlock()
+	if state != nil {
+		s.abandon(state)
 	}
+}
+
+// abandon ends what runs for an attempt.
+func (s *sender) abandon(state *sending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	state.cancelled = true
 	if state.cancel != nil {
 		state.cancel()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -20,6 +20,9 @@
 	// AnswerMargin is how long before a route's target a gather's answer
 	// leaves with the parts at hand, which covers the way from and to callers.
 	AnswerMargin time.Duration `yaml:"answer_margin"`
+	// RelayParts lets a gather's parts travel together through hosts in the
+	// upstreams' failure domains.
+	RelayParts bool `yaml:"relay_parts"`
 	// AssumedHosts share the tier's budgets until the hosts are counted.
 	AssumedHosts int `yaml:"assumed_hosts"`
 	// MetricsPort serves /metrics on the host's address; 0 serves none.
@@ -34,6 +37,7 @@
 	return Settings{
 		LogLevel:       "info",
 		AnswerMargin:   9 * time.Millisecond,
+		RelayParts:     true,
 		AssumedHosts:   32,
 		MetricsPort:    7390,
 		GarbagePercent: 400,
