Edge: one relay stream a host, and upstreams named once on it

Cause: a gRPC stream for each relayed call is dear in bytes and processor. Change: one stream to each relay carries all calls; an upstream is described when it is first named.

--- a/edge/host.go
+++ b/edge/host.go
@@ -47,6 +47,7 @@
 	sender   *sender
 	objects  *platform.Objects
 	peers    *peers
+	relays   *relayLinks
 	registry *registry
 	server   *grpc.Server // for other hosts
 	notes    *noteWriter
@@ -78,6 +79,10 @@
 	})
 	h.notes = newNoteWriter(h.log)
 	h.sender = newSender(h.report)
+	h.relays = newRelayLinks(h.peers, func(r scatter.Replied) {
+		h.sender.untrack(r.Attempt)
+		h.report(r)
+	})
 	h.front = newFront(h.offer, h.meters)
 	self := scatter.Host{ID: place.Host, Domain: place.Domain, Address: place.Control, Power: place.Power}
 	h.registry = newRegistry(h.objects, h.peers, h.log, self, place.Seeds, h.deliver)
@@ -195,6 +200,17 @@
 	go h.report(scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Unreached, Cause: "the caller left"})
 }
 
+// relay lets another host carry out sends of one call.
+func (h *Host) relay(sends []scatter.Send) {
+	if p := h.front.find(sends[0].Call); p != nil {
+		h.relays.relay(sends, p.request, func(cancel func()) { h.sender.track(sends, cancel) })
+		return
+	}
+	for _, send := range sends {
+		go h.report(scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Unreached, Cause: "the caller left"})
+	}
+}
+
 // handOver has another host answer a call.
 func (h *Host) handOver(handover scatter.Handover) {
 	p := h.front.find(handover.Call)
@@ -247,6 +263,7 @@
 	case err = <-failed:
 		h.log.Error().Str("event", "duty_failed").AnErr("cause", err).Msg("the host stops at once")
 		stopDuties()
+		h.relays.close()
 	}
 	h.closeListeners()
 	h.inbox.Close()
@@ -311,6 +328,7 @@
 	}
 	stopServer(ctx, h.server)
 	stopDuties()
+	h.relays.close()
 	h.peers.close()
 	h.log.Info().Str("event", "stopped").Dur("after", time.Since(started)).Msg("the host ends")
 }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
@@ -15,118 +14,293 @@
 	"github.com/samphirebeam/samphirebeam/platform"
 )
 
-// relays splits sends into those that go out here and those that travel
-// through each other host.
-func relays(sends []scatter.Send) (direct []scatter.Send, through map[core.HostID][]scatter.Send) {
-	for _, s := range sends {
-		if s.Via.ID == "" {
-			direct = append(direct, s)
-			continue
-		}
-		if through == nil {
-			through = map[core.HostID][]scatter.Send{}
+// relayQueue is the most messages that wait to be written to one relay.
+const relayQueue = 256
+
+// relayLinks hold one stream to each host that relays for this one.
+type relayLinks struct {
+	peers  *peers
+	report func(scatter.Replied)
+
+	ctx   context.Context // of all streams
+	close context.CancelFunc
+
+	mu    sync.Mutex
+	links map[string]*relayLink // by address
+}
+
+func newRelayLinks(p *peers, report func(scatter.Replied)) *relayLinks {
+	ctx, end := context.WithCancel(context.Background())
+	return &relayLinks{peers: p, report: report, ctx: ctx, close: end, links: map[string]*relayLink{}}
+}
+
+// relayLink is the stream to one relay, opened when it is first used.
+type relayLink struct {
+	report   func(scatter.Replied)
+	open     func(context.Context) (grpc.BidiStreamingClient[edgepb.RelayRequest, edgepb.RelayReply], error)
+	outgoing chan relayMessage
+
+	mu       sync.Mutex
+	sequence uint64
+	calls    map[uint64]*relayCall
+}
+
+// relayMessage starts or cancels a call at a relay.
+type relayMessage struct {
+	call   *relayCall
+	cancel bool
+}
+
+// relayCall is the sends of one call that travel through one relay.
+type relayCall struct {
+	id      uint64
+	sends   []scatter.Send
+	request platform.CallerRequest
+	ended   []bool // by send
+	left    int
+	sent    bool // it may have reached the relay
+	heard   bool // the relay returned something
+	expiry  *time.Timer
+}
+
+// link returns the stream to a host.
+func (l *relayLinks) link(host scatter.Host) *relayLink {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	link := l.links[host.Address]
+	if link == nil {
+		link = &relayLink{
+			report:   l.report,
+			outgoing: make(chan relayMessage, relayQueue),
+			calls:    map[uint64]*relayCall{},
+			open: func(ctx context.Context) (grpc.BidiStreamingClient[edgepb.RelayRequest, edgepb.RelayReply], error) {
+				client, err := l.peers.client(host.Address)
+				if err != nil {
+					return nil, err
+				}
+				return client.Relay(ctx)
+			},
 		}
-		through[s.Via.ID] = append(through[s.Via.ID], s)
+		l.links[host.Address] = link
+		go link.run(l.ctx)
 	}
-	return direct, through
+	return link
 }
 
-// relay lets another host carry out sends of one call. Cancelling any of them
-// cancels all: only a caller that left does so.
-func (h *Host) relay(sends []scatter.Send) {
-	p := h.front.find(sends[0].Call)
-	if p == nil {
-		go func() {
-			for _, s := range sends {
-				h.report(scatter.Replied{Attempt: s.Attempt, Outcome: scatter.Unreached, Cause: "the caller left"})
-			}
-		}()
-		return
+// relay lets another host carry out sends of one call. Track gets what ends
+// them at the caller's wish, before any of them can end.
+func (l *relayLinks) relay(sends []scatter.Send, request platform.CallerRequest, track func(cancel func())) {
+	link := l.link(sends[0].Via)
+	call := &relayCall{sends: sends, request: request, ended: make([]bool, len(sends)), left: len(sends)}
+	track(func() { link.cancel(call) })
+	link.begin(call)
+}
+
+// begin queues a call; one that finds the queue full is not relayed.
+func (l *relayLink) begin(call *relayCall) {
+	l.mu.Lock()
+	l.sequence++
+	call.id = l.sequence
+	l.calls[call.id] = call
+	call.expiry = time.AfterFunc(time.Until(call.sends[0].Deadline), func() { l.expire(call) })
+	l.mu.Unlock()
+	select {
+	case l.outgoing <- relayMessage{call: call}:
+	default:
+		// The decision duty must not wait for its own inbox.
+		go l.end(call, scatter.Replied{Outcome: scatter.NotRelayed, RelayFault: true, Cause: "too much waits for the relay"})
+	}
+}
+
+// cancel ends a call whose caller left.
+func (l *relayLink) cancel(call *relayCall) {
+	go l.end(call, scatter.Replied{Outcome: scatter.Lost, Cause: "the caller left"})
+	select {
+	case l.outgoing <- relayMessage{call: call, cancel: true}:
+	default: // the relay ends it at its deadline
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), sends[0].Deadline)
-	h.sender.track(sends, cancel)
-	go func() {
-		defer cancel()
-		h.peers.relayThrough(ctx, sends, p.request, func(r scatter.Replied) {
-			h.sender.untrack(r.Attempt)
-			h.report(r)
-		})
-	}()
-}
-
-// relayThrough reports the end of each send, once.
-func (p *peers) relayThrough(ctx context.Context, sends []scatter.Send, request platform.CallerRequest, report func(scatter.Replied)) {
-	var sent atomic.Bool
-	open := make(map[int]bool, len(sends))
-	for i := range sends {
-		open[i] = true
-	}
-	declined, heard, err := p.readRelay(context.WithValue(ctx, sentKey{}, &sent), sends, request, func(index int, r scatter.Replied) {
-		if open[index] {
-			delete(open, index)
-			report(r)
+}
+
+// expire ends a call at its deadline. Silence says nothing of the upstreams.
+func (l *relayLink) expire(call *relayCall) {
+	l.mu.Lock()
+	fault := !call.heard
+	l.mu.Unlock()
+	l.end(call, scatter.Replied{Outcome: scatter.Lost, RelayFault: fault, Cause: "the deadline is over"})
+}
+
+// end reports the same end of all sends that are open.
+func (l *relayLink) end(call *relayCall, how scatter.Replied) {
+	l.mu.Lock()
+	var open []uint64
+	for i := range call.sends {
+		if !call.ended[i] {
+			open = append(open, call.sends[i].Attempt)
 		}
-	})
-	rest := scatter.Replied{Outcome: scatter.Lost, Cause: "the relay returned nothing"}
-	if err != nil {
-		rest.Cause = err.Error()
 	}
-	// Silence until the deadline says nothing of the upstreams; a call that
-	// ended here says nothing of the relay.
-	rest.RelayFault = ctx.Err() == nil || !heard
-	if ctx.Err() == context.Canceled {
-		rest.RelayFault = false
+	l.forget(call)
+	l.mu.Unlock()
+	for _, attempt := range open {
+		how.Attempt = attempt
+		l.report(how)
 	}
-	if declined || !sent.Load() || status.Code(err) == codes.Unimplemented {
-		rest.Outcome = scatter.NotRelayed
+}
+
+// forget drops a call, all of whose sends have ended.
+func (l *relayLink) forget(call *relayCall) {
+	for i := range call.ended {
+		call.ended[i] = true
 	}
-	for i := range open {
-		rest.Attempt = sends[i].Attempt
-		report(rest)
+	call.expiry.Stop()
+	delete(l.calls, call.id)
+}
+
+// run opens the stream whenever there is something to send, until ctx ends.
+func (l *relayLink) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-l.outgoing:
+			l.failAll(l.serve(ctx, first))
+		}
 	}
 }
 
-// readRelay reads a relay's answers until all are in or the stream ends.
-func (p *peers) readRelay(ctx context.Context, sends []scatter.Send, request platform.CallerRequest, take func(int, scatter.Replied)) (declined, heard bool, err error) {
-	client, err := p.client(sends[0].Via.Address)
+// serve carries messages both ways until the stream ends.
+func (l *relayLink) serve(ctx context.Context, first relayMessage) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := l.open(ctx)
 	if err != nil {
-		return false, false, err
+		return err
 	}
-	stream, err := client.Relay(ctx, encodeRelay(sends, request))
-	if err != nil {
-		return false, false, err
+	ended := make(chan error, 1)
+	go func() { ended <- l.receive(stream) }()
+	refs := relayRefs{}
+	for message := first; ; {
+		if encoded := l.encode(message, refs); encoded != nil {
+			if err := stream.Send(encoded); err != nil {
+				return <-ended // Send says only that the stream has ended
+			}
+		}
+		select {
+		case err := <-ended:
+			return err
+		case message = <-l.outgoing:
+		}
+	}
+}
+
+// encode returns what is sent, and nil for a call that has ended.
+func (l *relayLink) encode(m relayMessage, refs relayRefs) *edgepb.RelayRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m.cancel {
+		if !m.call.sent {
+			return nil
+		}
+		return &edgepb.RelayRequest{Id: m.call.id, Cancel: true}
+	}
+	if l.calls[m.call.id] != m.call {
+		return nil
 	}
-	for left := len(sends); left > 0; {
+	m.call.sent = true
+	return encodeRelay(m.call, refs)
+}
+
+func (l *relayLink) receive(stream grpc.BidiStreamingClient[edgepb.RelayRequest, edgepb.RelayReply]) error {
+	for {
 		reply, err := stream.Recv()
 		if err != nil {
-			return false, heard, err
+			return err
 		}
-		if reply.Declined {
-			return true, true, nil
+		l.take(reply)
+	}
+}
+
+// take reports what a relay returned.
+func (l *relayLink) take(reply *edgepb.RelayReply) {
+	l.mu.Lock()
+	call := l.calls[reply.Id]
+	l.mu.Unlock()
+	if call == nil {
+		return // it has ended here
+	}
+	if reply.Declined {
+		l.end(call, scatter.Replied{Outcome: scatter.NotRelayed, RelayFault: true, Cause: "declined"})
+		return
+	}
+	for _, replied := range l.collect(call, reply.Parts) {
+		l.report(replied)
+	}
+}
+
+// collect notes the ends that a relay returned, and returns those that are new.
+func (l *relayLink) collect(call *relayCall, parts []*edgepb.RelayedPart) []scatter.Replied {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	call.heard = true
+	ends := make([]scatter.Replied, 0, len(parts))
+	for _, part := range parts {
+		index := int(part.Index)
+		if index < 0 || index >= len(call.sends) || call.ended[index] {
+			continue
 		}
-		heard = true
-		for _, part := range reply.Parts {
-			if index := int(part.Index); index >= 0 && index < len(sends) {
-				take(index, decodePart(sends[index].Attempt, part))
-				left--
-			}
+		call.ended[index] = true
+		call.left--
+		ends = append(ends, decodePart(call.sends[index].Attempt, part))
+	}
+	if call.left == 0 {
+		l.forget(call)
+	}
+	return ends
+}
+
+// failAll ends all calls of a stream that broke.
+func (l *relayLink) failAll(err error) {
+	cause := eris.Wrap(err, "relay").Error()
+	l.mu.Lock()
+	calls := make([]*relayCall, 0, len(l.calls))
+	for _, call := range l.calls {
+		calls = append(calls, call)
+	}
+	l.mu.Unlock()
+	for _, call := range calls {
+		how := scatter.Replied{Outcome: scatter.NotRelayed, RelayFault: true, Cause: cause}
+		if call.sent {
+			how.Outcome = scatter.Lost
 		}
+		l.end(call, how)
 	}
-	return false, true, nil
 }
 
-func encodeRelay(sends []scatter.Send, request platform.CallerRequest) *edgepb.RelayRequest {
-	m, first := request.Message, sends[0]
+// relayRefs are the upstreams that one stream has named.
+type relayRefs map[poolKey]uint32
+
+// target names an upstream, the first time with all that a relay has to know.
+func (r relayRefs) target(send scatter.Send) *edgepb.RelayTarget {
+	key := keyOf(send.Target)
+	if ref, named := r[key]; named {
+		return &edgepb.RelayTarget{Ref: ref}
+	}
+	ref := uint32(len(r) + 1)
+	r[key] = ref
+	return &edgepb.RelayTarget{
+		Ref: ref, Upstream: key.id, Address: key.address, Started: key.started, Connections: int32(send.Connections),
+	}
+}
+
+func encodeRelay(call *relayCall, refs relayRefs) *edgepb.RelayRequest {
+	m, first := call.request.Message, call.sends[0]
 	r := &edgepb.RelayRequest{
-		Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
+		Id: call.id, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
 		LeftUs: time.Until(first.Deadline).Microseconds(),
 		HoldUs: first.Hold.Microseconds(),
 		Top:    int32(first.Top),
 	}
-	for _, s := range sends {
-		r.Targets = append(r.Targets, &edgepb.RelayTarget{
-			Upstream: string(s.Target.ID), Address: s.Target.Address, Connections: int32(s.Connections), Started: s.Target.Started,
-		})
+	for _, s := range call.sends {
+		r.Targets = append(r.Targets, refs.target(s))
 	}
 	return r
 }
@@ -144,59 +318,18 @@
 	return replied
 }
 
-// Relay implements edgepb.EdgeServer.
-func (s *service) Relay(r *edgepb.RelayRequest, stream grpc.ServerStreamingServer[edgepb.RelayReply]) error {
-	if s.host.stopping.Load() {
-		return stream.Send(&edgepb.RelayReply{Declined: true})
-	}
-	request := platform.NewRequest(platform.Message{Method: r.Method, Host: r.Host, Target: r.Target, Header: decodeHeaders(r.Headers)})
-	deadline := time.Now().Add(time.Duration(r.LeftUs) * time.Microsecond)
-	results := make(chan *edgepb.RelayedPart, len(r.Targets))
-	for i, target := range r.Targets {
-		send := scatter.Send{
-			Target:      scatter.Upstream{ID: core.UpstreamID(target.Upstream), Address: target.Address, Started: target.Started},
-			Connections: int(target.Connections), Deadline: deadline, Repeatable: true,
-		}
-		go func() {
-			started := time.Now()
-			replied := s.host.sender.relay(stream.Context(), send, request.Forward)
-			results <- encodePart(i, replied, time.Since(started), int(r.Top))
-		}()
-	}
-	return sendParts(stream, results, len(r.Targets), time.Duration(r.HoldUs)*time.Microsecond)
-}
-
-func encodePart(index int, replied scatter.Replied, took time.Duration, top int) *edgepb.RelayedPart {
-	part := &edgepb.RelayedPart{
-		Index: int32(index), Outcome: int32(replied.Outcome), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
-	}
-	if reply, whole := replied.Payload.(*platform.Reply); whole && replied.Outcome == scatter.Succeeded {
-		part.Signature, part.Records = reply.Part(top)
-	}
-	return part
-}
-
-// sendParts returns what comes while answers are held back in one message, and
-// each later one by itself.
-func sendParts(stream grpc.ServerStreamingServer[edgepb.RelayReply], results <-chan *edgepb.RelayedPart, count int, hold time.Duration) error {
-	timer := time.NewTimer(hold)
-	defer timer.Stop()
-	held, reply := true, &edgepb.RelayReply{}
-	for got := 0; got < count; {
-		select {
-		case <-timer.C:
-			held = false
-		case part := <-results:
-			reply.Parts = append(reply.Parts, part)
-			got++
-		}
-		if held && got < count || len(reply.Parts) == 0 {
+// relays splits sends into those that go out here and those that travel
+// through each other host.
+func relays(sends []scatter.Send) (direct []scatter.Send, through map[core.HostID][]scatter.Send) {
+	for _, s := range sends {
+		if s.Via.ID == "" {
+			direct = append(direct, s)
 			continue
 		}
-		if err := stream.Send(reply); err != nil {
-			return err
+		if through == nil {
+			through = map[core.HostID][]scatter.Send{}
 		}
-		reply = &edgepb.RelayReply{}
+		through[s.Via.ID] = append(through[s.Via.ID], s)
 	}
-	return nil
+	return direct, through
 }
--- /dev/null
+++ b/edge/relaying.go
@@ -0,0 +1,195 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/edgepb"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// relaying is the work for one other host, whose stream carries it.
+type relaying struct {
+	sender *sender
+	stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
+	// targets are the upstreams that the stream has named; only its reader
+	// uses them.
+	targets map[uint32]scatter.Send
+
+	mu       sync.Mutex
+	stopping bool
+	running  sync.WaitGroup
+	cancels  map[uint64]context.CancelFunc
+	sending  sync.Mutex // the stream takes one message at a time
+}
+
+// Relay implements edgepb.EdgeServer.
+func (s *service) Relay(stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]) error {
+	r := &relaying{
+		sender: s.host.sender, stream: stream,
+		targets: map[uint32]scatter.Send{}, cancels: map[uint64]context.CancelFunc{},
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- r.receive() }()
+	select {
+	case err := <-ended:
+		return err // what runs ends with the stream
+	case <-s.host.stopped:
+		r.drain()
+		return status.Error(codes.Unavailable, "this host stops")
+	}
+}
+
+func (r *relaying) receive() error {
+	for {
+		request, err := r.stream.Recv()
+		if err != nil {
+			return err
+		}
+		if request.Cancel {
+			r.cancel(request.Id)
+			continue
+		}
+		r.begin(request)
+	}
+}
+
+// drain declines what comes and waits for what runs.
+func (r *relaying) drain() {
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	r.running.Wait()
+}
+
+func (r *relaying) cancel(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cancel := r.cancels[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// begin sends a request to its upstreams.
+func (r *relaying) begin(request *edgepb.RelayRequest) {
+	sends := r.decode(request)
+	ctx, cancel := context.WithCancel(r.stream.Context())
+	r.mu.Lock()
+	stopping := r.stopping
+	if !stopping {
+		r.running.Add(1)
+		r.cancels[request.Id] = cancel
+	}
+	r.mu.Unlock()
+	if stopping {
+		cancel()
+		r.reply(&edgepb.RelayReply{Id: request.Id, Declined: true})
+		return
+	}
+	b := &batch{relaying: r, id: request.Id, left: len(sends), end: cancel}
+	b.hold = time.AfterFunc(time.Duration(request.HoldUs)*time.Microsecond, b.release)
+	message := platform.NewRequest(platform.Message{
+		Method: request.Method, Host: request.Host, Target: request.Target, Header: decodeHeaders(request.Headers),
+	})
+	for i, send := range sends {
+		go func() {
+			started := time.Now()
+			replied := r.sender.relay(ctx, send, message.Forward)
+			b.add(encodePart(i, replied, time.Since(started), int(request.Top)))
+		}()
+	}
+}
+
+// decode returns the sends of a request, and remembers the upstreams that it
+// names first.
+func (r *relaying) decode(request *edgepb.RelayRequest) []scatter.Send {
+	deadline := time.Now().Add(time.Duration(request.LeftUs) * time.Microsecond)
+	sends := make([]scatter.Send, len(request.Targets))
+	for i, target := range request.Targets {
+		if target.Upstream != "" {
+			r.targets[target.Ref] = scatter.Send{
+				Target:      scatter.Upstream{ID: core.UpstreamID(target.Upstream), Address: target.Address, Started: target.Started},
+				Connections: int(target.Connections),
+				Repeatable:  true,
+			}
+		}
+		sends[i] = r.targets[target.Ref]
+		sends[i].Deadline = deadline
+	}
+	return sends
+}
+
+func (r *relaying) reply(reply *edgepb.RelayReply) {
+	r.sending.Lock()
+	defer r.sending.Unlock()
+	_ = r.stream.Send(reply) // a stream that broke ends by its reader
+}
+
+// batch collects the answers to one request.
+type batch struct {
+	*relaying
+	id   uint64
+	hold *time.Timer
+	end  context.CancelFunc
+
+	mu       sync.Mutex
+	released bool // answers are not held back any more
+	left     int
+	parts    []*edgepb.RelayedPart
+}
+
+// add takes an answer, and returns what is in if all are or if nothing is held
+// back any more.
+func (b *batch) add(part *edgepb.RelayedPart) {
+	b.mu.Lock()
+	b.parts = append(b.parts, part)
+	b.left--
+	b.flush()
+	last := b.left == 0
+	b.mu.Unlock()
+	if last {
+		b.finish()
+	}
+}
+
+// release returns what is in once answers are not held back any more.
+func (b *batch) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.released = true
+	b.flush()
+}
+
+func (b *batch) flush() {
+	if len(b.parts) == 0 || b.left > 0 && !b.released {
+		return
+	}
+	b.reply(&edgepb.RelayReply{Id: b.id, Parts: b.parts})
+	b.parts = nil
+}
+
+func (b *batch) finish() {
+	b.hold.Stop()
+	b.end()
+	b.relaying.mu.Lock()
+	delete(b.cancels, b.id)
+	b.relaying.mu.Unlock()
+	b.running.Done()
+}
+
+func encodePart(index int, replied scatter.Replied, took time.Duration, top int) *edgepb.RelayedPart {
+	part := &edgepb.RelayedPart{
+		Index: int32(index), Outcome: int32(replied.Outcome), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
+	}
+	if reply, whole := replied.Payload.(*platform.Reply); whole && replied.Outcome == scatter.Succeeded {
+		part.Signature, part.Records = reply.Part(top)
+	}
+	return part
+}
