Hub: a list of a known revision is not passed on again

Cause: hosts that cannot rely on the store follow each other. Found by the repeated "domains_out" lines. Change: what is not newer than what is known is ignored, lists too. Ruled out: a loop of lists and watches at a reader (10 lists in all), held answers.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -40,8 +40,8 @@
 	// Repeatable requests may use a connection that could be about to close.
 	Repeatable bool
 	// Via is the host that relays the send, together with the others of its
-	// call; the zero value sends directly. It holds answers back for Hold and
-	// returns the Top greatest records of each.
+	// call; the zero value sends directly. It holds answers back for the least
+	// Hold among them and returns the Top greatest records of each.
 	Via  Host
 	Hold time.Duration
 	Top  int
--- a/core/scatter/relay.go
+++ b/core/scatter/relay.go
@@ -25,6 +25,9 @@
 	holdOfHedge = 0.8
 	// maxHold bounds that time, as a share of the route's target.
 	maxHold = 0.4
+	// openWindow is the window from which an upstream's answers may be held
+	// back: a narrow one would stay taken meanwhile.
+	openWindow = 2
 	// relaySlack is how long after the time of a hedge a relay may stay silent
 	// before it rests.
 	relaySlack = 15 * time.Millisecond
@@ -112,8 +115,11 @@
 	}
 }
 
-// hold is how long a relay holds answers back.
-func (e *Engine) hold(route *Route, usual time.Duration) time.Duration {
+// hold is how long a relay holds answers of an upstream back.
+func (e *Engine) hold(u *upstream, route *Route, usual time.Duration) time.Duration {
+	if u.window < openWindow {
+		return 0
+	}
 	return min(
 		time.Duration(holdOfHedge*hedgeFactor*float64(usual)),
 		time.Duration(maxHold*float64(route.Target)),
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -48,9 +48,9 @@
 	switch {
 	case !u.Reset && (!h.known || u.Base > h.revision):
 		return false
-	case h.known && u.Revision < h.revision:
-		return true // older than what is known
-	case !u.Reset && u.Revision == h.revision:
+	case h.known && u.Revision <= h.revision:
+		// Not newer than what is known. Hosts that follow each other would pass
+		// on a list of the same revision for good.
 		return true
 	}
 	if u.Reset {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -293,10 +293,14 @@
 
 func encodeRelay(call *relayCall, refs relayRefs) *edgepb.RelayRequest {
 	m, first := call.request.Message, call.sends[0]
+	hold := first.Hold
+	for _, s := range call.sends {
+		hold = min(hold, s.Hold)
+	}
 	r := &edgepb.RelayRequest{
 		Id: call.id, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
 		LeftUs: time.Until(first.Deadline).Microseconds(),
-		HoldUs: first.Hold.Microseconds(),
+		HoldUs: hold.Microseconds(),
 		Top:    int32(first.Top),
 	}
 	for _, s := range call.sends {
