Scatter: a gather's part waits for a full sound upstream, not for one that stands still

Change: if only upstreams that stand still have room, and a sound one is at its limit, the part of a gather waits. TestGatherWaitsForASoundUpstream fails first. Ruled out: the hosts' smaller share of connections in other domains (the window is 2 there; raising it only moves the queue into the upstream).

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -169,6 +169,7 @@
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		tried:       p.tried,
 		connections: e.sharesOf(service),
+		patient:     c.route.IsGather(),
 	})
 	switch {
 	case u != nil:
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -262,6 +262,9 @@
 	tried   []*upstream
 	// connections bounds the requests that this host may have at one upstream.
 	connections connectionShares
+	// patient requests wait for an upstream at its limit where the only ones
+	// with room stand still.
+	patient bool
 }
 
 // pick returns the upstream of a service with the least expected time for a
@@ -273,6 +276,7 @@
 func (d *directory) pick(now time.Time, l limits) (best *upstream, busy bool) {
 	var resting *upstream
 	bestCost := math.Inf(1)
+	soundFull, stalled := false, false
 	for _, u := range d.byService[l.service.ID] {
 		if u.Draining || d.out[u.Domain] || slices.Contains(l.tried, u) {
 			continue
@@ -285,12 +289,16 @@
 		}
 		if len(u.running) >= min(l.connections.of(u.Domain, d.domain), int(u.window)) || !d.coldAllows(now, u, l.service) {
 			busy = true
+			soundFull = soundFull || !u.stalled(now)
 			continue
 		}
 		if cost := d.cost(now, u); cost < bestCost {
-			best, bestCost = u, cost
+			best, bestCost, stalled = u, cost, u.stalled(now)
 		}
 	}
+	if l.patient && soundFull && stalled {
+		return nil, true
+	}
 	if best == nil && !busy && resting != nil {
 		// Nothing better is left: the request itself finds out whether the
 		// upstream is back.
--- a/core/scatter/gather_test.go
+++ b/core/scatter/gather_test.go
@@ -50,16 +50,8 @@
 func TestQuickGatherHedgesBesideLongRequests(t *testing.T) {
 	r := newRig(t)
 	r.configure(1, 4)
-	warm := func(path string, latency time.Duration) {
-		r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return latency, scatter.Succeeded }
-		for range 40 { // the windows of the upstreams open
-			r.ask(path)
-			r.ask(path)
-			r.run(2 * latency)
-		}
-	}
-	warm(quickPath, 5*ms)
-	warm(gatherPath, 25*ms)
+	r.warm(quickPath, 5*ms)
+	r.warm(gatherPath, 25*ms)
 	var long core.UpstreamID
 	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
 		switch {
@@ -82,6 +74,37 @@
 	}
 }
 
+// TestGatherWaitsForASoundUpstream: while one upstream of a shard stands still
+// and its twin is at its limit, a part waits for the twin.
+func TestGatherWaitsForASoundUpstream(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.warm(gatherPath, 20*ms)
+	var still core.UpstreamID
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		switch {
+		case s.Target.Service != "shard02":
+			return 5 * ms, scatter.Succeeded
+		case still == "":
+			still = s.Target.ID
+		}
+		if s.Target.ID == still {
+			return 400 * ms, scatter.Succeeded
+		}
+		return 40 * ms, scatter.Succeeded
+	}
+	r.ask(gatherPath) // one stands still, and its twin takes the hedge
+	r.run(150 * ms)
+	before := r.sentTo(still)
+	for range 12 {
+		r.ask(gatherPath)
+		r.run(2 * ms)
+	}
+	if after := r.sentTo(still); after != before {
+		t.Errorf("%d parts went to the upstream that stands still", after-before)
+	}
+}
+
 // TestGatherAnswersWithPartsAtHand replays a shard whose upstreams all stand
 // still: the answer leaves before the target without it.
 func TestGatherAnswersWithPartsAtHand(t *testing.T) {
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -116,6 +116,17 @@
 	return r.arrive(scatter.Arrived{Path: path, Budget: time.Second})
 }
 
+// warm opens the windows of a gather's upstreams, which answer after a latency
+// that becomes the usual one.
+func (r *rig) warm(path string, latency time.Duration) {
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return latency, scatter.Succeeded }
+	for range 40 {
+		r.ask(path)
+		r.ask(path)
+		r.run(2 * latency)
+	}
+}
+
 func (r *rig) arrive(a scatter.Arrived) core.CallID {
 	r.calls++
 	a.Call, a.Host, a.At = r.calls, "h.example", r.now
