--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -23,23 +23,30 @@
 
 // rig is a store, servers and hosts on loopback.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	store   *platformstub.Stub
 	address string
 	servers map[string]*serverstub.Server
+	domains map[string]string // of servers
 	version int
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	store := platformstub.New()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
-	return &rig{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}}
+	return &rig{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}, domains: map[string]string{}}
 }
 
-// server starts a server and registers it.
+// server starts a server and registers it, in the failure domain d1.
 func (r *rig) server(service, id string, config serverstub.Config) *serverstub.Server {
 	r.t.Helper()
+	return r.serverIn("d1", service, id, config)
+}
+
+func (r *rig) serverIn(domain, service, id string, config serverstub.Config) *serverstub.Server {
+	r.t.Helper()
+	r.domains[id] = domain
 	config.ID = id
 	config.Slots = max(config.Slots, 2)
 	config.Queue = max(config.Queue, 12)
@@ -55,7 +62,7 @@
 
 func (r *rig) register(service, id, state string) {
 	r.put("servers", id, map[string]any{
-		"service": service, "address": r.servers[id].Address(), "zone": "d1", "version": "v1",
+		"service": service, "address": r.servers[id].Address(), "zone": r.domains[id], "version": "v1",
 		"max_concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
 	})
 }
@@ -97,15 +104,20 @@
 	})
 }
 
-// host starts a host and waits until it is ready.
+// host starts a host in the failure domain d1 and waits until it is ready.
 func (r *rig) host(name string, power float64) *running {
+	r.t.Helper()
+	return r.hostIn("d1", name, power)
+}
+
+func (r *rig) hostIn(domain, name string, power float64) *running {
 	r.t.Helper()
 	place := platform.HostSettings{
 		Host: "", Domain: "", IP: "127.0.0.1", Callers: freeAddress(r.t), Readiness: freeAddress(r.t), Control: freeAddress(r.t),
 		Store: r.address, Power: power, MemoryBytes: 1 << 28, StopWithin: 2 * time.Second, Contact: contact,
 		RetryRatio: 0.2, RetryAllowance: 56, RetryWindow: 10 * time.Second,
 	}
-	place.Host, place.Domain = hostID(name), domainID("d1")
+	place.Host, place.Domain = hostID(name), domainID(domain)
 	settings := DefaultSettings()
 	settings.MetricsPort = 0
 	log := &lockedBuffer{}
@@ -126,7 +138,7 @@
 	return running
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -139,7 +151,7 @@
 // running is one host that runs.
 type running struct {
 	*Host
-	t      *testing.T
+	t      testing.TB
 	log    *lockedBuffer
 	stop   context.CancelFunc
 	ended  chan error
@@ -203,7 +215,7 @@
 }
 
 // eventually retries a check for a few seconds.
-func eventually(t *testing.T, check func() error) {
+func eventually(t testing.TB, check func() error) {
 	t.Helper()
 	var err error
 	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/edge/service.go
+++ b/edge/service.go
@@ -28,7 +28,11 @@
 
 // newPeerServer makes the server for other hosts.
 func newPeerServer(h *Host) *grpc.Server {
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(peerMessageBytes))
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(peerMessageBytes),
+		grpc.InitialWindowSize(peerWindow),
+		grpc.InitialConnWindowSize(peerWindow),
+	)
 	edgepb.RegisterEdgeServer(server, &service{host: h})
 	return server
 }
