--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -15,14 +15,17 @@
 // rig drives one engine under virtual time against upstreams whose behaviour
 // the test chooses.
 type rig struct {
-	t      *testing.T
-	now    time.Time
-	engine *scatter.Engine
-	later  schedule.Timers[func()]
-	calls  core.CallID
+	t       *testing.T
+	now     time.Time
+	options scatter.Options
+	engine  *scatter.Engine
+	later   schedule.Timers[func()]
+	calls   core.CallID
 
 	// serve says how an upstream answers a send; nil answers after 5 ms.
 	serve func(s scatter.Send) (after time.Duration, outcome scatter.Outcome)
+	// relayed says how a relay answers a send; nil leaves that to serve.
+	relayed func(s scatter.Send) (after time.Duration, replied scatter.Replied)
 	// peer says how a host answers a handover.
 	peer func(h scatter.Handover) (after time.Duration, outcome scatter.Outcome)
 
@@ -43,7 +46,7 @@
 		answers: map[core.CallID]scatter.Answer{}, answered: map[core.CallID]time.Time{},
 	}
 	random := uint32(1)
-	r.engine = scatter.New(scatter.Options{
+	r.options = scatter.Options{
 		Self: "host-1", Domain: "d1",
 		Extra:        scatter.ExtraLimits{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
 		AnswerMargin: 10 * ms,
@@ -52,7 +55,8 @@
 			random = random*1664525 + 1013904223
 			return float64(random>>8) / (1 << 24)
 		},
-	})
+	}
+	r.engine = scatter.New(r.options)
 	r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Power: 1}}})
 	return r
 }
@@ -76,7 +80,11 @@
 		if r.serve != nil {
 			after, outcome = r.serve(s)
 		}
-		replied := scatter.Replied{Attempt: s.Attempt, Outcome: outcome, Payload: string(s.Target.ID)}
+		replied := scatter.Replied{Outcome: outcome}
+		if s.Via.ID != "" && r.relayed != nil {
+			after, replied = r.relayed(s)
+		}
+		replied.Attempt, replied.Payload = s.Attempt, string(s.Target.ID)
 		r.later.Add(r.now.Add(after), func() { r.step(replied) })
 	}
 	for _, h := range out.Handovers {
--- /dev/null
+++ b/edge/relay_test.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/standin/serverstub"
+)
+
+// relayRig is two hosts in the domain d1 and two in d2, where all four shards
+// have their servers.
+func relayRig(t *testing.T) (*rig, []*running) {
+	r := newRig(t)
+	var shards []string
+	for i := range 4 {
+		shard := fmt.Sprint("shard", i)
+		shards = append(shards, shard)
+		record := strings.Repeat(string(rune('a'+i)), scatter.RecordSize)
+		config := serverstub.Config{Work: 20 * time.Millisecond, Body: []byte(record)}
+		for n := range 2 {
+			r.serverIn("d2", shard, fmt.Sprint(shard, "-", n), config)
+		}
+	}
+	r.server("files", "f-0", serverstub.Config{})
+	r.configure("files", shards...)
+	hosts := []*running{
+		r.hostIn("d1", "h1", 1), r.hostIn("d1", "h2", 1), r.hostIn("d2", "h3", 1), r.hostIn("d2", "h4", 1),
+	}
+	eventually(t, func() error {
+		hosts[0].ask("GET", "/gather/warm", fmt.Sprint("warm-", time.Now().UnixNano()), "")
+		if hosts[0].relayed() == 0 {
+			return fmt.Errorf("nothing was relayed")
+		}
+		return nil
+	})
+	return r, hosts
+}
+
+func (h *running) relayed() (count uint64) {
+	h.decision.ask(func(e *scatter.Engine) { count = e.Stats().Relayed })
+	return count
+}
+
+func TestRelayedPartsAreMerged(t *testing.T) {
+	_, hosts := relayRig(t)
+	answer := hosts[0].ask("GET", "/gather/x", "r-1", "")
+	want := strings.Repeat("d", 16) + strings.Repeat("c", 16) + strings.Repeat("b", 16)
+	if answer.status != 200 || string(answer.body) != want || answer.header.Get("Missing-Parts") != "0" {
+		t.Errorf("status %d, %q missing, body %q", answer.status, answer.header.Get("Missing-Parts"), answer.body)
+	}
+	if got := strings.Count(answer.header.Get("Part-Stamps"), ",") + 1; got != 4 {
+		t.Errorf("%d signatures, want 4", got)
+	}
+}
+
+// TestRelaysThatEndCutNothing stops one relay as planned and breaks the other,
+// while gathers run: each is answered whole.
+func TestRelaysThatEndCutNothing(t *testing.T) {
+	for name, end := range map[string]func(*running){
+		"planned stop": func(h *running) { h.end() },
+		"broken":       func(h *running) { h.server.Stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, hosts := relayRig(t)
+			var callers sync.WaitGroup
+			for c := range 8 {
+				callers.Go(func() {
+					for i := range 60 {
+						answer := hosts[0].ask("GET", "/gather/x", fmt.Sprint("r-", c, "-", i), "")
+						if answer.err != nil || answer.status != 200 || answer.header.Get("Missing-Parts") != "0" {
+							t.Errorf("caller %d, request %d: status %d, %q missing: %v", c, i, answer.status, answer.header.Get("Missing-Parts"), answer.err)
+							return
+						}
+						time.Sleep(5 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			end(hosts[2])
+			time.Sleep(300 * time.Millisecond)
+			end(hosts[3])
+			callers.Wait()
+		})
+	}
+}
+
+// TestCallerWhoLeavesEndsWhatRelaysDo: the servers see the end of the request.
+func TestCallerWhoLeavesEndsWhatRelaysDo(t *testing.T) {
+	r, hosts := relayRig(t)
+	for _, s := range r.servers {
+		s.Pause(2 * time.Second)
+	}
+	hosts[0].client.Timeout = 100 * time.Millisecond
+	hosts[0].ask("GET", "/gather/x", "r-1", "")
+	eventually(t, func() error {
+		for _, h := range hosts[2:] {
+			h.sender.pools.mu.Lock()
+			running := len(h.sender.pools.inUse)
+			h.sender.pools.mu.Unlock()
+			if running > 0 {
+				return fmt.Errorf("a relay still waits for %d servers", running)
+			}
+		}
+		return nil
+	})
+}
