Scatter: four requests in flight a slot for all hosts together; half the connections

With 8 hosts and 3 places each a server of 2 slots had up to 24 in flight. Change: hosts hold half of an upstream's connections together; a host's requests in flight at an upstream are its share of four a slot, at least one. A relay that falls silent frees the places that its parts take.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -88,7 +88,7 @@
 			e.noteUpstream(u, DecisionTrust)
 		}
 		u.trust()
-		u.grow(e.sharesOf(c.config.Services[p.service]).of(u.Domain, e.fleet.domain))
+		u.grow(e.sharesOf(c.config.Services[p.service]).inFlight(u, e.fleet.domain))
 	case Failed:
 		u.lostInARow = 0
 		u.observe(now, ratio, true)
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -287,7 +287,7 @@
 			}
 			continue
 		}
-		if len(u.running) >= min(l.connections.of(u.Domain, d.domain), int(u.window)) || !d.coldAllows(now, u, l.service) {
+		if len(u.running) >= min(l.connections.inFlight(u, d.domain), int(u.window)) || !d.coldAllows(now, u, l.service) {
 			busy = true
 			soundFull = soundFull || !u.stalled(now)
 			continue
--- a/core/scatter/relay.go
+++ b/core/scatter/relay.go
@@ -28,9 +28,16 @@
 	// openWindow is the window from which an upstream's answers may be held
 	// back: a narrow one would stay taken meanwhile.
 	openWindow = 2
+	// inFlightPerSlot times the slots of an upstream is how many requests all
+	// hosts together have there at once.
+	inFlightPerSlot = 4
 	// relaySlack is how long after the time of a hedge a relay may stay silent
 	// before it rests.
 	relaySlack = 15 * time.Millisecond
+	// connectionsUsed is the part of the connections that an upstream takes
+	// that all hosts hold together. Those of hosts that died without a word
+	// count there until the upstream notices.
+	connectionsUsed = 0.5
 	// farShare is the part of an equal share of an upstream's connections that
 	// hosts of other failure domains keep for direct sends; the hosts of its
 	// own domain have the rest.
@@ -158,6 +165,17 @@
 	}
 	if now.Sub(a.sentAt) > time.Duration(hedgeFactor*float64(usual))+relaySlack {
 		e.restRelay(now, a.via, "silent")
+		e.releaseRelayed(a.via)
+	}
+}
+
+// releaseRelayed frees the places that parts at a silent relay take at their
+// upstreams, which may not even have got them.
+func (e *Engine) releaseRelayed(p *peer) {
+	for _, a := range e.attempts {
+		if a.via == p {
+			a.to.running = slices.DeleteFunc(a.to.running, func(other *attempt) bool { return other == a })
+		}
 	}
 }
 
@@ -179,7 +197,7 @@
 
 // sharesOf returns the shares for the upstreams of a service.
 func (e *Engine) sharesOf(s Service) connectionShares {
-	shares := connectionShares{connections: s.Connections, hosts: e.fleet.gatherers()}
+	shares := connectionShares{connections: int(connectionsUsed * float64(s.Connections)), hosts: e.fleet.gatherers()}
 	if shares.hosts == 0 {
 		shares.hosts = max(1, e.options.Hosts)
 	}
@@ -189,6 +207,19 @@
 	return shares
 }
 
+// inFlight returns how many requests a host in a failure domain may have at an
+// upstream, at least one.
+//
+// It answers waves of requests: what an upstream queues it serves in order of
+// arrival, whatever became urgent or was hedged since, and a host cannot take it
+// to the upstream's twin any more.
+func (s connectionShares) inFlight(u *upstream, host core.DomainID) int {
+	if u.Slots <= 0 {
+		return s.of(u.Domain, host)
+	}
+	return max(1, min(s.connections/s.hosts, inFlightPerSlot*u.Slots/s.hosts))
+}
+
 // of returns how many connections a host in a failure domain may hold to an
 // upstream in another, at least one. The hosts of the upstream's own domain
 // relay for the others, and have more.
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -183,7 +183,7 @@
 // two upstreams named shard-a and shard-b.
 func (r *rig) configure(version uint64, shards int) {
 	services := map[core.ServiceID]scatter.Service{}
-	add := func(id core.ServiceID) { services[id] = scatter.Service{ID: id, Connections: 24} }
+	add := func(id core.ServiceID) { services[id] = scatter.Service{ID: id, Connections: 96} }
 	gather := &scatter.Route{
 		Name: "gather", Host: "h.example", Prefix: gatherPath, Repeatable: true, Timeout: 800 * ms, Target: 100 * ms,
 		Priority: 1, MaxUpstreams: 2, TopRecords: 10, MinCoverage: 0.75,
--- a/core/scatter/shares_test.go
+++ b/core/scatter/shares_test.go
@@ -40,3 +40,18 @@
 		}
 	})
 }
+
+// TestInFlightIsShared: all hosts together have four requests for each slot at
+// an upstream, and each host at least one.
+func TestInFlightIsShared(t *testing.T) {
+	for _, c := range []struct{ connections, hosts, slots, want int }{
+		{100, 1, 2, 8}, {100, 3, 2, 2}, {100, 8, 2, 1}, {100, 12, 2, 1}, {100, 8, 6, 3},
+		{4, 1, 2, 4}, {24, 8, 0, 3},
+	} {
+		s := connectionShares{connections: c.connections, hosts: c.hosts}
+		u := &upstream{Upstream: Upstream{Slots: c.slots}}
+		if got := s.inFlight(u, "d1"); got != c.want {
+			t.Errorf("%+v: %d in flight", c, got)
+		}
+	}
+}
--- a/core/scatter/wave_test.go
+++ b/core/scatter/wave_test.go
@@ -1,6 +1,7 @@
 package scatter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -89,3 +90,44 @@
 		}
 	}
 }
+
+// TestBurstWaitsAtTheHost replays a burst of gathers at one of eight hosts: the
+// upstreams get this host's share, the rest waits here, where what is more
+// urgent goes first.
+func TestBurstWaitsAtTheHost(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	var hosts []scatter.Host
+	for n := range 8 {
+		hosts = append(hosts, scatter.Host{ID: core.HostID(fmt.Sprint("host-", n+1)), Domain: "d1", Power: 1})
+	}
+	r.step(scatter.HostsSeen{Hosts: hosts})
+	r.warm(gatherPath, 10*ms)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 10 * ms, scatter.Succeeded }
+	r.sends = nil
+	var quick, urgent []core.CallID
+	for range 5 {
+		quick = append(quick, r.ask(quickPath))
+	}
+	for range 5 {
+		urgent = append(urgent, r.ask(gatherPath))
+	}
+	counts := map[core.UpstreamID]int{}
+	for _, s := range r.sends {
+		if counts[s.Target.ID]++; counts[s.Target.ID] > 1 {
+			t.Errorf("%d requests in flight at %s, want one of this host", counts[s.Target.ID], s.Target.ID)
+		}
+	}
+	r.run(500 * ms)
+	last := func(calls []core.CallID) (at time.Time) {
+		for _, call := range calls {
+			if r.answered[call].After(at) {
+				at = r.answered[call]
+			}
+		}
+		return at
+	}
+	if last(urgent).After(last(quick)) {
+		t.Error("the most urgent gathers were answered last")
+	}
+}
