Edge: callers' idle connections end by the configuration; domains out are noted when they change

Cause: idle_timeout_ms of the configuration in force was not kept (fixed 60 s), and each list of evacuations wrote a line though nothing had changed. Ruled out: http.Server's own IdleTimeout, which cannot change while it serves.

--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -243,6 +244,9 @@
 }
 
 func (e *Engine) setDomains(out map[core.DomainID]bool) {
+	if maps.Equal(out, e.directory.out) {
+		return
+	}
 	e.directory.out = out
 	names := make([]string, 0, len(out))
 	for id := range out {
--- a/core/scatter/gather_test.go
+++ b/core/scatter/gather_test.go
@@ -245,6 +245,22 @@
 	}
 }
 
+func TestDomainsOutAreNotedWhenTheyChange(t *testing.T) {
+	r := newRig(t)
+	for _, out := range []map[core.DomainID]bool{{}, {"d1": true}, {"d1": true}, {}, {}} {
+		r.step(scatter.DomainsOut{Domains: out})
+	}
+	count := 0
+	for _, n := range r.notes {
+		if n.Decision == scatter.DecisionDomains {
+			count++
+		}
+	}
+	if count != 2 {
+		t.Errorf("%d notes of 2 changes", count)
+	}
+}
+
 func TestDecisionsNameTheRequest(t *testing.T) {
 	r := newRig(t)
 	r.configure(7, 2)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -1,8 +1,12 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -284,6 +288,39 @@
 	h.end()
 }
 
+// TestIdleConnectionsEndByTheConfiguration: a caller's connection that rests
+// longer than the configuration in force allows is closed.
+func TestIdleConnectionsEndByTheConfiguration(t *testing.T) {
+	r := twoShards(t)
+	r.idleTimeout = 1500 * time.Millisecond
+	r.configure("shard-a", "shard-a", "shard-b")
+	h := r.host("host-1", 1)
+	c, err := net.Dial("tcp", h.place.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	ask := func(id string) error {
+		if _, err := fmt.Fprintf(c, "GET /nowhere HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\n\r\n", id); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err
+	}
+	for i := range 3 {
+		if err := ask(fmt.Sprint("id-", i)); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(4 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection that rests: %v, want its end", err)
+	}
+}
+
 // TestCallerWhoLeavesBlamesNobody: the end of a handover whose caller left is
 // no failure of the host that answers.
 func TestCallerWhoLeavesBlamesNobody(t *testing.T) {
--- a/edge/front.go
+++ b/edge/front.go
@@ -40,19 +40,22 @@
 	sequence atomic.Uint64
 	stopping atomic.Bool
 	maxBody  atomic.Int64
+	maxIdle  atomic.Int64 // nanoseconds
 
 	mu    sync.Mutex
 	calls map[core.CallID]*pending
+	idle  map[net.Conn]time.Time // callers' connections, since when they rest
 }
 
 func newFront(inbox func(scatter.Event) bool, m *meters) *front {
-	f := &front{inbox: inbox, metrics: m, calls: map[core.CallID]*pending{}}
+	f := &front{inbox: inbox, metrics: m, calls: map[core.CallID]*pending{}, idle: map[net.Conn]time.Time{}}
 	f.maxBody.Store(fallbackBodyBytes)
+	f.maxIdle.Store(int64(fallbackIdleTimeout))
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: fallbackHeaderTimeout,
-		IdleTimeout:       fallbackIdleTimeout,
 		MaxHeaderBytes:    fallbackHeaderBytes,
+		ConnState:         f.connState,
 	}
 	return f
 }
@@ -62,6 +65,49 @@
 	if limits.MaxBodyBytes > 0 {
 		f.maxBody.Store(limits.MaxBodyBytes)
 	}
+	if limits.IdleTimeout > 0 {
+		f.maxIdle.Store(int64(limits.IdleTimeout))
+	}
+}
+
+// connState notes which connections rest.
+func (f *front) connState(c net.Conn, state http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state == http.StateIdle {
+		f.idle[c] = time.Now()
+	} else {
+		delete(f.idle, c)
+	}
+}
+
+// idleSweep is the time between two looks for connections that rest too long.
+const idleSweep = time.Second
+
+// closeIdle closes connections that rest longer than the configuration in force
+// allows, until ctx ends.
+func (f *front) closeIdle(ctx context.Context) {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.closeIdleBefore(now.Add(-time.Duration(f.maxIdle.Load())))
+		}
+	}
+}
+
+func (f *front) closeIdleBefore(limit time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, since := range f.idle {
+		if since.Before(limit) {
+			_ = c.Close() // it ends either way
+			delete(f.idle, c)
+		}
+	}
 }
 
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -284,6 +284,7 @@
 	}
 	h.duties.Go(h.decision.run)
 	h.duties.Go(func() { h.sender.sweep(ctx) })
+	h.duties.Go(func() { h.front.closeIdle(ctx) })
 	h.duties.Go(func() { h.registry.run(ctx) })
 	serve(func() error { return h.server.Serve(h.control) })
 	serve(func() error { return h.front.run(h.callers) })
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -29,13 +29,15 @@
 	servers map[string]*serverstub.Server
 	domains map[string]string // of servers
 	version int
+	// idleTimeout is what the configuration allows callers' connections.
+	idleTimeout time.Duration
 }
 
 func newRig(t testing.TB) *rig {
 	store := platformstub.New()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
-	return &rig{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}, domains: map[string]string{}}
+	return &rig{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}, domains: map[string]string{}, idleTimeout: 15 * time.Second}
 }
 
 // server starts a server and registers it, in the failure domain d1.
@@ -100,7 +102,7 @@
 			route("/order/", "non_idempotent", map[string]any{"service": "orders"}),
 		},
 		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": r.idleTimeout.Milliseconds()},
 	})
 }
 
