Soak: both failure domains have strong hosts and servers, hosts have addresses of their own

Cause: all strong hosts and servers of the soak were in one failure domain, so that no part went through a relay; and with 100 hosts a port that was free a moment ago could be taken by an outgoing connection (host-46: address already in use). Change: hosts and shards are spread over two domains; each host listens on its own loopback address. Names in edge: relay_client.go and relay_server.go; sends are grouped by call and relay; a caller who leaves cancels a relayed call once.

--- a/core/scatter/shares_test.go
+++ b/core/scatter/shares_test.go
@@ -45,8 +45,13 @@
 // an upstream, and each host at least one.
 func TestInFlightIsShared(t *testing.T) {
 	for _, c := range []struct{ connections, hosts, slots, want int }{
-		{100, 1, 2, 8}, {100, 3, 2, 2}, {100, 8, 2, 1}, {100, 12, 2, 1}, {100, 8, 6, 3},
-		{4, 1, 2, 4}, {24, 8, 0, 3},
+		{100, 1, 2, 8},
+		{100, 3, 2, 2},
+		{100, 8, 2, 1},
+		{100, 12, 2, 1},
+		{100, 8, 6, 3},
+		{4, 1, 2, 4},
+		{24, 8, 0, 3},
 	} {
 		s := connectionShares{connections: c.connections, hosts: c.hosts}
 		u := &upstream{Upstream: Upstream{Slots: c.slots}}
--- a/edge/host.go
+++ b/edge/host.go
@@ -159,11 +159,11 @@
 
 // perform carries out what the core decided.
 func (h *Host) perform(now time.Time, actions *scatter.Actions) {
-	direct, through := relays(actions.Sends)
+	direct, relayed := splitRelayed(actions.Sends)
 	for _, send := range direct {
 		h.send(send)
 	}
-	for _, sends := range through {
+	for _, sends := range relayed {
 		h.relay(sends)
 	}
 	for _, cancel := range actions.Cancels {
--- a/edge/relay.go
+++ b/edge/relay_client.go
@@ -92,7 +92,7 @@
 func (l *relayLinks) relay(sends []scatter.Send, request platform.CallerRequest, track func(cancel func())) {
 	link := l.link(sends[0].Via)
 	call := &relayCall{sends: sends, request: request, ended: make([]bool, len(sends)), left: len(sends)}
-	track(func() { link.cancel(call) })
+	track(sync.OnceFunc(func() { link.cancel(call) }))
 	link.begin(call)
 }
 
@@ -322,18 +322,25 @@
 	return replied
 }
 
-// relays splits sends into those that go out here and those that travel
-// through each other host.
-func relays(sends []scatter.Send) (direct []scatter.Send, through map[core.HostID][]scatter.Send) {
+// relayKey names the sends of one call that travel through one host.
+type relayKey struct {
+	call core.CallID
+	via  core.HostID
+}
+
+// splitRelayed splits sends into those that go out here and those that travel
+// through other hosts.
+func splitRelayed(sends []scatter.Send) (direct []scatter.Send, relayed map[relayKey][]scatter.Send) {
 	for _, s := range sends {
 		if s.Via.ID == "" {
 			direct = append(direct, s)
 			continue
 		}
-		if through == nil {
-			through = map[core.HostID][]scatter.Send{}
+		if relayed == nil {
+			relayed = map[relayKey][]scatter.Send{}
 		}
-		through[s.Via.ID] = append(through[s.Via.ID], s)
+		key := relayKey{s.Call, s.Via.ID}
+		relayed[key] = append(relayed[key], s)
 	}
-	return direct, through
+	return direct, relayed
 }
--- a/edge/relaying.go
+++ b/edge/relay_server.go
@@ -15,8 +15,8 @@
 	"github.com/samphirebeam/samphirebeam/platform"
 )
 
-// relaying is the work for one other host, whose stream carries it.
-type relaying struct {
+// relayStream is the work for one other host, whose stream carries it.
+type relayStream struct {
 	sender *sender
 	stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
 	// targets are the upstreams that the stream has named; only its reader
@@ -32,7 +32,7 @@
 
 // Relay implements edgepb.EdgeServer.
 func (s *service) Relay(stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]) error {
-	r := &relaying{
+	r := &relayStream{
 		sender: s.host.sender, stream: stream,
 		targets: map[uint32]scatter.Send{}, cancels: map[uint64]context.CancelFunc{},
 	}
@@ -47,7 +47,7 @@
 	}
 }
 
-func (r *relaying) receive() error {
+func (r *relayStream) receive() error {
 	for {
 		request, err := r.stream.Recv()
 		if err != nil {
@@ -62,14 +62,14 @@
 }
 
 // drain declines what comes and waits for what runs.
-func (r *relaying) drain() {
+func (r *relayStream) drain() {
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
 	r.running.Wait()
 }
 
-func (r *relaying) cancel(id uint64) {
+func (r *relayStream) cancel(id uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if cancel := r.cancels[id]; cancel != nil {
@@ -78,7 +78,7 @@
 }
 
 // begin sends a request to its upstreams.
-func (r *relaying) begin(request *edgepb.RelayRequest) {
+func (r *relayStream) begin(request *edgepb.RelayRequest) {
 	sends := r.decode(request)
 	ctx, cancel := context.WithCancel(r.stream.Context())
 	r.mu.Lock()
@@ -93,7 +93,7 @@
 		r.reply(&edgepb.RelayReply{Id: request.Id, Declined: true})
 		return
 	}
-	b := &batch{relaying: r, id: request.Id, left: len(sends), end: cancel}
+	b := &batch{relayStream: r, id: request.Id, left: len(sends), end: cancel}
 	b.hold = time.AfterFunc(time.Duration(request.HoldUs)*time.Microsecond, b.release)
 	message := platform.NewRequest(platform.Message{
 		Method: request.Method, Host: request.Host, Target: request.Target, Header: decodeHeaders(request.Headers),
@@ -109,7 +109,7 @@
 
 // decode returns the sends of a request, and remembers the upstreams that it
 // names first.
-func (r *relaying) decode(request *edgepb.RelayRequest) []scatter.Send {
+func (r *relayStream) decode(request *edgepb.RelayRequest) []scatter.Send {
 	deadline := time.Now().Add(time.Duration(request.LeftUs) * time.Microsecond)
 	sends := make([]scatter.Send, len(request.Targets))
 	for i, target := range request.Targets {
@@ -126,7 +126,7 @@
 	return sends
 }
 
-func (r *relaying) reply(reply *edgepb.RelayReply) {
+func (r *relayStream) reply(reply *edgepb.RelayReply) {
 	r.sending.Lock()
 	defer r.sending.Unlock()
 	_ = r.stream.Send(reply) // a stream that broke ends by its reader
@@ -134,7 +134,7 @@
 
 // batch collects the answers to one request.
 type batch struct {
-	*relaying
+	*relayStream
 	id   uint64
 	hold *time.Timer
 	end  context.CancelFunc
@@ -178,9 +178,9 @@
 func (b *batch) finish() {
 	b.hold.Stop()
 	b.end()
-	b.relaying.mu.Lock()
+	b.relayStream.mu.Lock()
 	delete(b.cancels, b.id)
-	b.relaying.mu.Unlock()
+	b.relayStream.mu.Unlock()
 	b.running.Done()
 }
 
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -41,12 +41,12 @@
 }
 
 // server starts a server and registers it, in the failure domain d1.
-func (r *rig) server(service, id string, config serverstub.Config) *serverstub.Server {
+func (r *rig) server(service, id string, config serverstub.Config) {
 	r.t.Helper()
-	return r.serverIn("d1", service, id, config)
+	r.serverIn("d1", service, id, config)
 }
 
-func (r *rig) serverIn(domain, service, id string, config serverstub.Config) *serverstub.Server {
+func (r *rig) serverIn(domain, service, id string, config serverstub.Config) {
 	r.t.Helper()
 	r.domains[id] = domain
 	config.ID = id
@@ -59,7 +59,6 @@
 	r.t.Cleanup(s.Close)
 	r.servers[id] = s
 	r.register(service, id, "ready")
-	return s
 }
 
 func (r *rig) register(service, id, state string) {
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -50,8 +50,8 @@
 // server is a stand-in behind a proxy.
 type server struct {
 	*serverstub.Server
-	id, service string
-	proxy       *proxy
+	id, service, domain string
+	proxy               *proxy
 }
 
 // host is one process of the program under test.
@@ -72,13 +72,19 @@
 	f.web = httptest.NewServer(f.store)
 	for i := range shards {
 		for j := range shardServers {
-			if err := f.addServer(fmt.Sprint("shard-", i), fmt.Sprintf("s%d-%d", i, j)); err != nil {
+			// The last shard is in one domain, the others in the other: hosts of
+			// each domain ask the others through relays.
+			domain := "d1"
+			if i == shards-1 {
+				domain = "d2"
+			}
+			if err := f.addServer(fmt.Sprint("shard-", i), fmt.Sprintf("s%d-%d", i, j), domain); err != nil {
 				return f, err
 			}
 		}
 	}
 	for j := range orderServers {
-		if err := f.addServer("orders", fmt.Sprint("o", j)); err != nil {
+		if err := f.addServer("orders", fmt.Sprint("o", j), "d1"); err != nil {
 			return f, err
 		}
 	}
@@ -93,7 +99,7 @@
 	return f, nil
 }
 
-func (f *fleet) addServer(service, id string) error {
+func (f *fleet) addServer(service, id, domain string) error {
 	body := []byte(fmt.Sprintf("%-16s%-16s%-16s", id+"-3", id+"-1", id+"-2"))
 	stub, err := serverstub.Start(serverstub.Config{ID: id, Slots: 4, Queue: 24, Work: workTime, Body: body})
 	if err != nil {
@@ -103,14 +109,14 @@
 	if err != nil {
 		return err
 	}
-	s := &server{Server: stub, id: id, service: service, proxy: p}
+	s := &server{Server: stub, id: id, service: service, domain: domain, proxy: p}
 	f.servers = append(f.servers, s)
 	return f.register(s, "ready")
 }
 
 func (f *fleet) register(s *server, state string) error {
 	return f.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "address": s.proxy.address(), "zone": "d1", "version": "v1", "max_concurrency": 4,
+		"service": s.service, "address": s.proxy.address(), "zone": s.domain, "version": "v1", "max_concurrency": 4,
 		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
 	})
 }
@@ -148,18 +154,22 @@
 		return err
 	}
 	h := &host{name: fmt.Sprint("host-", i), store: store}
+	// An address of its own: no connection that leaves this machine's usual
+	// loopback address can take a port of it before the host does.
+	ip := fmt.Sprintf("127.1.%d.%d", i/200, i%200+1)
 	for _, address := range []*string{&h.callers, &h.control, &h.readiness} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = freeAddress(ip); err != nil {
 			return err
 		}
 	}
-	power := 1.0
+	// Strong and weak hosts are in both failure domains.
+	power, domain := 1.0, fmt.Sprint("d", i/2%2+1)
 	if i%2 == 1 {
 		power = 0.2
 	}
 	h.settings = filepath.Join(f.folder, h.name+".conf")
 	lines := []string{
-		"node_name=" + h.name, fmt.Sprint("zone=d", i%2+1), "ip=127.0.0.1", "listen_addrs.front=" + h.callers,
+		"node_name=" + h.name, "zone=" + domain, "ip=" + ip, "listen_addrs.front=" + h.callers,
 		"listen_addrs.ready=" + h.readiness, "listen_addrs.control=" + h.control, "internal_port_range=1,2",
 		"platform.address=" + store.address(), fmt.Sprint("limits.cpu_share=", power), "limits.cores=1", "limits.memory_mb=256",
 		fmt.Sprint("bounds.contact_ms=", contactMs), fmt.Sprint("bounds.grace_s=", graceS),
@@ -175,8 +185,9 @@
 	return h.start(f.program, f.folder)
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress returns a free port of an address.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", eris.Wrap(err, "free port")
 	}
