--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -133,7 +133,7 @@
 	r := twoShards(t)
 	h := r.host("host-1", 1)
 	r.servers["o1"].SetFault(serverstub.Early)
-	h.ask("POST", "/order/7", "id-1", strings.Repeat("x", 1<<19))
+	h.ask("POST", "/order/7", "id-1", strings.Repeat("x", 1<<20))
 	r.servers["o1"].SetFault(serverstub.Sound)
 	time.Sleep(200 * time.Millisecond)
 	body := strings.Repeat("y", 100)
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -37,7 +37,7 @@
 	Fail
 	// Shed runs nothing.
 	Shed
-	// Early answers before it has read the body.
+	// Early answers before it has read the body, which it reads later.
 	Early
 	// Other behaves as another server at the same address.
 	Other
@@ -45,6 +45,13 @@
 	ForgetIdle
 )
 
+// earlyPause is how much later an Early server reads the body, of which
+// earlyBuffer bytes may be on their way.
+const (
+	earlyPause  = 400 * time.Millisecond
+	earlyBuffer = 4 << 10
+)
+
 // Config is what a server is made of.
 type Config struct {
 	// ID is what requests have to expect.
@@ -129,6 +136,9 @@
 		if err != nil {
 			return // closed
 		}
+		if tcp, ok := c.(*net.TCPConn); ok && s.current() == Early {
+			_ = tcp.SetReadBuffer(earlyBuffer) // what is sent early has to wait
+		}
 		go s.serve(c)
 	}
 }
@@ -144,6 +154,7 @@
 		fault := s.current()
 		if fault == Early && r.ContentLength > 0 {
 			s.refuse(c, r, http.StatusBadRequest)
+			time.Sleep(earlyPause)
 			_, _ = io.Copy(io.Discard, r.Body)
 			continue
 		}
