Relay: answers return one by one

Cause: since a host has one request in flight at an upstream of two slots, relays held nothing back (the rule asked for a window of two), and the code for it did nothing. Change: no holding back; a batch, a timer and two fields of the protocol go.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -40,11 +40,9 @@
 	// Repeatable requests may use a connection that could be about to close.
 	Repeatable bool
 	// Via is the host that relays the send, together with the others of its
-	// call; the zero value sends directly. It holds answers back for the least
-	// Hold among them and returns the Top greatest records of each.
-	Via  Host
-	Hold time.Duration
-	Top  int
+	// call; the zero value sends directly. It returns the Top greatest records.
+	Via Host
+	Top int
 }
 
 // Cancel ends a running attempt, whose caller is gone.
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -211,7 +211,7 @@
 	if a.via = e.relayFor(now, c, u.Domain); a.via != nil {
 		a.via.relay.running++
 		e.stats.Relayed++
-		send.Via, send.Hold, send.Top = a.via.Host, e.hold(u, c.route, usual), c.route.TopRecords
+		send.Via, send.Top = a.via.Host, c.route.TopRecords
 		send.Connections = e.sharesOf(service).of(u.Domain, u.Domain)
 	}
 	e.out.Sends = append(e.out.Sends, send)
--- a/core/scatter/relay.go
+++ b/core/scatter/relay.go
@@ -20,14 +20,6 @@
 	// minRelayed is the least number of parts for which a relay is worth its
 	// call.
 	minRelayed = 2
-	// holdOfHedge is how long a relay holds answers back to return them
-	// together, as a share of the time after which they would be hedged.
-	holdOfHedge = 0.8
-	// maxHold bounds that time, as a share of the route's target.
-	maxHold = 0.4
-	// openWindow is the window from which an upstream's answers may be held
-	// back: a narrow one would stay taken meanwhile.
-	openWindow = 2
 	// inFlightPerSlot times the slots of an upstream is how many requests all
 	// hosts together have there at once.
 	inFlightPerSlot = 4
@@ -122,17 +114,6 @@
 	}
 }
 
-// hold is how long a relay holds answers of an upstream back.
-func (e *Engine) hold(u *upstream, route *Route, usual time.Duration) time.Duration {
-	if u.window < openWindow {
-		return 0
-	}
-	return min(
-		time.Duration(holdOfHedge*hedgeFactor*float64(usual)),
-		time.Duration(maxHold*float64(route.Target)),
-	)
-}
-
 // learnRelay updates what is believed of an attempt's relay.
 func (e *Engine) learnRelay(now time.Time, a *attempt, r Replied) {
 	load := &a.via.relay
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -231,30 +231,26 @@
 		l.end(call, scatter.Replied{Outcome: scatter.NotRelayed, RelayFault: true, Cause: "declined"})
 		return
 	}
-	for _, replied := range l.collect(call, reply.Parts) {
+	if replied, first := l.collect(call, reply.Part); first {
 		l.report(replied)
 	}
 }
 
-// collect notes the ends that a relay returned, and returns those that are new.
-func (l *relayLink) collect(call *relayCall, parts []*edgepb.RelayedPart) []scatter.Replied {
+// collect notes an end that a relay returned; first is false when the send has
+// ended before.
+func (l *relayLink) collect(call *relayCall, part *edgepb.RelayedPart) (replied scatter.Replied, first bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	call.heard = true
-	ends := make([]scatter.Replied, 0, len(parts))
-	for _, part := range parts {
-		index := int(part.Index)
-		if index < 0 || index >= len(call.sends) || call.ended[index] {
-			continue
-		}
-		call.ended[index] = true
-		call.left--
-		ends = append(ends, decodePart(call.sends[index].Attempt, part))
+	index := int(part.GetIndex())
+	if index < 0 || index >= len(call.sends) || call.ended[index] {
+		return scatter.Replied{}, false
 	}
-	if call.left == 0 {
+	call.ended[index] = true
+	if call.left--; call.left == 0 {
 		l.forget(call)
 	}
-	return ends
+	return decodePart(call.sends[index].Attempt, part), true
 }
 
 // failAll ends all calls of a stream that broke.
@@ -293,14 +289,9 @@
 
 func encodeRelay(call *relayCall, refs relayRefs) *edgepb.RelayRequest {
 	m, first := call.request.Message, call.sends[0]
-	hold := first.Hold
-	for _, s := range call.sends {
-		hold = min(hold, s.Hold)
-	}
 	r := &edgepb.RelayRequest{
 		Id: call.id, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
 		LeftUs: time.Until(first.Deadline).Microseconds(),
-		HoldUs: hold.Microseconds(),
 		Top:    int32(first.Top),
 	}
 	for _, s := range call.sends {
@@ -312,7 +303,7 @@
 func decodePart(attempt uint64, part *edgepb.RelayedPart) scatter.Replied {
 	replied := scatter.Replied{
 		Attempt: attempt,
-		Outcome: scatter.Outcome(part.Outcome),
+		Outcome: scatter.Outcome(part.GetOutcome()),
 		Cause:   part.Cause,
 		Took:    time.Duration(part.TookUs) * time.Microsecond,
 	}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -81,30 +81,48 @@
 func (r *relayStream) begin(request *edgepb.RelayRequest) {
 	sends := r.decode(request)
 	ctx, cancel := context.WithCancel(r.stream.Context())
-	r.mu.Lock()
-	stopping := r.stopping
-	if !stopping {
-		r.running.Add(1)
-		r.cancels[request.Id] = cancel
-	}
-	r.mu.Unlock()
-	if stopping {
+	if !r.admit(request.Id, cancel) {
 		cancel()
 		r.reply(&edgepb.RelayReply{Id: request.Id, Declined: true})
 		return
 	}
-	b := &batch{relayStream: r, id: request.Id, left: len(sends), end: cancel}
-	b.hold = time.AfterFunc(time.Duration(request.HoldUs)*time.Microsecond, b.release)
 	message := platform.NewRequest(platform.Message{
 		Method: request.Method, Host: request.Host, Target: request.Target, Header: decodeHeaders(request.Headers),
 	})
+	var parts sync.WaitGroup
 	for i, send := range sends {
-		go func() {
+		parts.Go(func() {
 			started := time.Now()
 			replied := r.sender.relay(ctx, send, message.Forward)
-			b.add(encodePart(i, replied, time.Since(started), int(request.Top)))
-		}()
+			part := encodePart(i, replied, time.Since(started), int(request.Top))
+			r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
+		})
+	}
+	go func() {
+		parts.Wait()
+		r.end(request.Id)
+	}()
+}
+
+// admit notes a request; false means that this host stops.
+func (r *relayStream) admit(id uint64, cancel context.CancelFunc) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return false
 	}
+	r.running.Add(1)
+	r.cancels[id] = cancel
+	return true
+}
+
+// end forgets a request, all of whose parts have ended.
+func (r *relayStream) end(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancels[id]()
+	delete(r.cancels, id)
+	r.running.Done()
 }
 
 // decode returns the sends of a request, and remembers the upstreams that it
@@ -132,58 +150,6 @@
 	_ = r.stream.Send(reply) // a stream that broke ends by its reader
 }
 
-// batch collects the answers to one request.
-type batch struct {
-	*relayStream
-	id   uint64
-	hold *time.Timer
-	end  context.CancelFunc
-
-	mu       sync.Mutex
-	released bool // answers are not held back any more
-	left     int
-	parts    []*edgepb.RelayedPart
-}
-
-// add takes an answer, and returns what is in if all are or if nothing is held
-// back any more.
-func (b *batch) add(part *edgepb.RelayedPart) {
-	b.mu.Lock()
-	b.parts = append(b.parts, part)
-	b.left--
-	b.flush()
-	last := b.left == 0
-	b.mu.Unlock()
-	if last {
-		b.finish()
-	}
-}
-
-// release returns what is in once answers are not held back any more.
-func (b *batch) release() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.released = true
-	b.flush()
-}
-
-func (b *batch) flush() {
-	if len(b.parts) == 0 || b.left > 0 && !b.released {
-		return
-	}
-	b.reply(&edgepb.RelayReply{Id: b.id, Parts: b.parts})
-	b.parts = nil
-}
-
-func (b *batch) finish() {
-	b.hold.Stop()
-	b.end()
-	b.relayStream.mu.Lock()
-	delete(b.cancels, b.id)
-	b.relayStream.mu.Unlock()
-	b.running.Done()
-}
-
 func encodePart(index int, replied scatter.Replied, took time.Duration, top int) *edgepb.RelayedPart {
 	part := &edgepb.RelayedPart{
 		Index: int32(index), Outcome: int32(replied.Outcome), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
