Relay: a host passes on only what its own configuration version decided

To the upstreams the relay went back to an older version; the same way a relay that lags would seem to go back after it passed on newer parts. Change: each relayed request names the version that decided; a host with another one in force declines, and the parts go directly from the host that decided. TestRelayDeclinesOtherVersions fails without it. Ruled out: the lagging host itself (out of touch, allowed to lag).

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -39,6 +39,8 @@
 	Deadline time.Time
 	// Repeatable requests may use a connection that could be about to close.
 	Repeatable bool
+	// Version is the configuration version that decided.
+	Version uint64
 	// Via is the host that relays the send, together with the others of its
 	// call; the zero value sends directly. It returns the Top greatest records.
 	Via Host
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -207,6 +207,7 @@
 		Connections: e.sharesOf(service).of(u.Domain, e.fleet.domain),
 		Deadline:    c.deadline,
 		Repeatable:  c.route.Repeatable,
+		Version:     c.config.Version,
 	}
 	if a.via = e.relayFor(now, c, u.Domain); a.via != nil {
 		a.via.relay.running++
--- a/edge/host.go
+++ b/edge/host.go
@@ -53,6 +53,7 @@
 	notes    *noteWriter
 	ready    atomic.Bool
 	stopping atomic.Bool
+	version  atomic.Uint64 // of the configuration in force
 	stopped  chan struct{} // closed when other hosts have to turn elsewhere
 	duties   sync.WaitGroup
 
@@ -233,6 +234,7 @@
 // followCore passes on what the core's beliefs mean for the other duties.
 func (h *Host) followCore(now time.Time) {
 	c := h.decision.core
+	h.version.Store(c.Version())
 	if !h.ready.Load() && c.Serves() {
 		h.ready.Store(true)
 		h.log.Info().Str("event", "ready").Str("role", c.Role().String()).Uint64("config_version", c.Version()).Msg("requests can be answered")
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -290,7 +290,7 @@
 func encodeRelay(call *relayCall, refs relayRefs) *edgepb.RelayRequest {
 	m, first := call.request.Message, call.sends[0]
 	r := &edgepb.RelayRequest{
-		Id: call.id, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
+		Id: call.id, ConfigVersion: first.Version, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
 		LeftUs: time.Until(first.Deadline).Microseconds(),
 		Top:    int32(first.Top),
 	}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -17,8 +18,9 @@
 
 // relayStream is the work for one other host, whose stream carries it.
 type relayStream struct {
-	sender *sender
-	stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
+	sender  *sender
+	stream  grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
+	version *atomic.Uint64 // of the configuration in force at this host
 	// targets are the upstreams that the stream has named; only its reader
 	// uses them.
 	targets map[uint32]scatter.Send
@@ -33,7 +35,7 @@
 // Relay implements edgepb.EdgeServer.
 func (s *service) Relay(stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]) error {
 	r := &relayStream{
-		sender: s.host.sender, stream: stream,
+		sender: s.host.sender, stream: stream, version: &s.host.version,
 		targets: map[uint32]scatter.Send{}, cancels: map[uint64]context.CancelFunc{},
 	}
 	ended := make(chan error, 1)
@@ -81,7 +83,7 @@
 func (r *relayStream) begin(request *edgepb.RelayRequest) {
 	sends := r.decode(request)
 	ctx, cancel := context.WithCancel(r.stream.Context())
-	if !r.admit(request.Id, cancel) {
+	if request.ConfigVersion != r.version.Load() || !r.admit(request.Id, cancel) {
 		cancel()
 		r.reply(&edgepb.RelayReply{Id: request.Id, Declined: true})
 		return
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/edgepb"
 	"github.com/samphirebeam/samphirebeam/standin/serverstub"
 )
 
@@ -88,6 +89,38 @@
 	}
 }
 
+// TestRelayDeclinesOtherVersions: a host that passed on what another version of
+// the configuration decided would seem to go back to it.
+func TestRelayDeclinesOtherVersions(t *testing.T) {
+	r, hosts := relayRig(t)
+	client, err := hosts[0].peers.client(hosts[2].place.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := client.Relay(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, version := range []uint64{0, uint64(r.version) - 1, uint64(r.version) + 1, uint64(r.version)} {
+		request := &edgepb.RelayRequest{
+			Id: uint64(id), ConfigVersion: version, Method: "GET", Host: "h.example", Target: "/gather/x",
+			Headers: []*edgepb.Header{{Name: "Request-Id", Values: []string{fmt.Sprint("v-", id)}}},
+			LeftUs:  1_000_000, Top: 3,
+			Targets: []*edgepb.RelayTarget{{Ref: uint32(id + 1), Upstream: "shard0-0", Address: r.servers["shard0-0"].Address(), Connections: 2}},
+		}
+		if err := stream.Send(request); err != nil {
+			t.Fatal(err)
+		}
+		reply, err := stream.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := version != uint64(r.version); reply.Declined != want {
+			t.Errorf("version %d with %d in force: declined %v", version, r.version, reply.Declined)
+		}
+	}
+}
+
 // TestCallerWhoLeavesEndsWhatRelaysDo: the servers see the end of the request.
 func TestCallerWhoLeavesEndsWhatRelaysDo(t *testing.T) {
 	r, hosts := relayRig(t)
