--- a/processtest/fault_test.go
+++ b/processtest/fault_test.go
@@ -104,8 +104,9 @@
 }
 
 // pauseUpstreams stops all upstreams for a little less than the callers'
-// deadline, some times in a row, as happens when they get no processor time. To each host the few queries under way look slow; each caller may be
-// refused twice meanwhile.
+// deadline, some times in a row, as happens when they get no processor time. To
+// each host the few queries under way look slow; each caller may be refused
+// twice meanwhile.
 func pauseUpstreams(t *testing.T, f *fleet.Fleet) {
 	for range 6 {
 		if err := f.Standin.Signal(syscall.SIGSTOP); err != nil {
