--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -42,8 +42,10 @@
 	// Version is the configuration version that decided.
 	Version uint64
 	// Via is the host that relays the send, together with the others of its
-	// call; the zero value sends directly. It returns the Top greatest records.
+	// call; the zero value sends directly.
 	Via Host
+	// Top is how many of the greatest records of a gather's part can matter;
+	// 0 for other requests.
 	Top int
 }
 
@@ -137,6 +139,8 @@
 	DecisionTrust    Decision = "upstream_trusted"
 	DecisionJoin     Decision = "upstream_joined"
 	DecisionDrain    Decision = "upstream_draining"
+	DecisionLeaving  Decision = "upstream_leaving"
+	DecisionWithheld Decision = "upstream_withheld"
 	DecisionRemove   Decision = "upstream_removed"
 	DecisionKeep     Decision = "upstream_kept_without_entry"
 	DecisionConfig   Decision = "config_in_force"
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -30,6 +30,7 @@
 	u.running = slices.DeleteFunc(u.running, func(other *attempt) bool { return other == a })
 	p.pending--
 	a.notRun = r.Outcome.SurelyNotRun()
+	e.takeNotice(now, u, r.Notice)
 	e.learn(now, a, r)
 	e.serveWaiting(now, p.service)
 	if c.done {
@@ -80,7 +81,7 @@
 		return // it says nothing of the upstream
 	}
 	switch r.Outcome {
-	case NotRelayed:
+	case NotRelayed, Withheld:
 	case Succeeded:
 		usual.observe(latency)
 		u.observe(now, ratio, false)
@@ -145,7 +146,7 @@
 	if r.Outcome == NotRelayed {
 		p.notRelayed(a)
 	}
-	if r.Outcome == Unreached || r.Outcome == NotRelayed {
+	if !r.Outcome.Arrived() {
 		// It did not arrive: the next attempt is the first arrival.
 		p.attempts = slices.DeleteFunc(p.attempts, func(other *attempt) bool { return other == a })
 	}
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -49,7 +49,7 @@
 		e.refuse(now, c, "the question broke several upstreams")
 		return
 	}
-	if reachable := e.reachableParts(c); reachable < c.needed() {
+	if e.reachableParts(c) < c.needed() {
 		e.refuse(now, c, "too few services have an upstream")
 		return
 	}
@@ -113,18 +113,30 @@
 }
 
 // reachableParts counts the parts whose service has an upstream that may take
-// work.
+// work while the call can wait for it.
 func (e *Engine) reachableParts(c *call) int {
 	count := 0
 	for _, p := range c.parts {
-		if slices.ContainsFunc(e.directory.byService[p.service], e.mayTake) {
+		if at, found := e.freeAt(p.service); found && at.Before(c.waitsUntil()) {
 			count++
 		}
 	}
 	return count
 }
 
-func (e *Engine) mayTake(u *upstream) bool { return !u.Draining && !e.directory.out[u.Domain] }
+func (e *Engine) mayTake(u *upstream) bool {
+	return !u.Draining && !u.leaving && !e.directory.out[u.Domain]
+}
+
+// waitsUntil is how long a part may wait for an upstream to take it. A request
+// that goes to one upstream is refused early, so that its caller can come back;
+// parts of a gather cost nothing while they wait.
+func (c *call) waitsUntil() time.Time {
+	if c.route.IsGather() {
+		return c.deadline
+	}
+	return c.request.At.Add(time.Duration(holdUnsent * float64(c.route.Target)))
+}
 
 // schedule sets the call's timers.
 func (e *Engine) schedule(now time.Time, c *call) {
@@ -170,6 +182,7 @@
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 		patient:     c.route.IsGather(),
+		waitsUntil:  c.waitsUntil(),
 	})
 	switch {
 	case u != nil:
@@ -209,10 +222,13 @@
 		Repeatable:  c.route.Repeatable,
 		Version:     c.config.Version,
 	}
+	if c.route.IsGather() {
+		send.Top = c.route.TopRecords
+	}
 	if a.via = e.relayFor(now, c, u.Domain); a.via != nil {
 		a.via.relay.running++
 		e.stats.Relayed++
-		send.Via, send.Top = a.via.Host, c.route.TopRecords
+		send.Via = a.via.Host
 		send.Connections = e.sharesOf(service).of(u.Domain, u.Domain)
 	}
 	e.out.Sends = append(e.out.Sends, send)
@@ -268,13 +284,16 @@
 	if c.done {
 		return
 	}
-	in, open := 0, 0
+	in, open, late := 0, 0, 0
 	for _, p := range c.parts {
 		switch {
 		case p.in:
 			in++
 		case !p.over:
 			open++
+			if e.waitsPast(p, c.answerAt) {
+				late++
+			}
 		}
 	}
 	needed := c.needed()
@@ -282,11 +301,21 @@
 	case in+open < needed:
 		e.fail(now, c)
 	case in < needed:
-	case open == 0 || !now.Before(c.answerAt):
+	case open == late || !now.Before(c.answerAt):
 		e.answer(now, c, in)
 	}
 }
 
+// waitsPast says that a part waits for upstreams all of which want nothing until
+// after a time.
+func (e *Engine) waitsPast(p *part, until time.Time) bool {
+	if !p.waiting {
+		return false
+	}
+	at, found := e.freeAt(p.service)
+	return !found || !at.Before(until)
+}
+
 // answer hands out what is in.
 func (e *Engine) answer(now time.Time, c *call, in int) {
 	answer := Answer{Call: c.id, Kind: PassedOn, Payload: c.parts[0].payload}
@@ -396,6 +425,11 @@
 
 func (e *Engine) retryAfter(now time.Time, c *call) time.Duration {
 	wait := time.Duration(retryShare * (0.5 + e.options.Random()) * float64(c.route.Target))
+	for _, p := range c.parts {
+		if at, found := e.freeAt(p.service); found {
+			wait = max(wait, at.Sub(now))
+		}
+	}
 	left := time.Duration(maxRetryOfLeft * float64(c.deadline.Sub(now)))
 	return max(0, min(wait, left))
 }
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -60,8 +60,11 @@
 	// missingSince is when the entry was found missing; zero while it stands.
 	missingSince time.Time
 	removed      bool
-	coldUntil    time.Time
-	nextCold     time.Time // earliest next send while cold
+	// leaving and withheldUntil are what the upstream said of itself.
+	leaving       bool
+	withheldUntil time.Time
+	coldUntil     time.Time
+	nextCold      time.Time // earliest next send while cold
 
 	running []*attempt // in order of their start
 	// window is how many requests this host has there at once; an upstream
@@ -96,6 +99,7 @@
 	everListed   bool
 	graceEnds    time.Time
 	pendingGrace []*upstream
+	notices      *Notices
 }
 
 func newDirectory(self core.HostID, domain core.DomainID) *directory {
@@ -105,6 +109,7 @@
 		self:      self,
 		domain:    domain,
 		reachable: true,
+		notices:   NewNotices(),
 	}
 }
 
@@ -117,6 +122,8 @@
 	}
 	if u == nil {
 		u = &upstream{Upstream: entry, slowness: 1, window: firstWindow, tie: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
+		known := d.notices.Of(now, entry)
+		u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
 		d.byID[entry.ID] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
@@ -262,6 +269,9 @@
 	tried   []*upstream
 	// connections bounds the requests that this host may have at one upstream.
 	connections connectionShares
+	// waitsUntil is how long the request can wait for an upstream that wants
+	// nothing for a while.
+	waitsUntil time.Time
 	// patient requests wait for an upstream at its limit where the only ones
 	// with room stand still.
 	patient bool
@@ -278,7 +288,11 @@
 	bestCost := math.Inf(1)
 	soundFull, stalled := false, false
 	for _, u := range d.byService[l.service.ID] {
-		if u.Draining || d.out[u.Domain] || slices.Contains(l.tried, u) {
+		if u.Draining || u.leaving || d.out[u.Domain] || slices.Contains(l.tried, u) {
+			continue
+		}
+		if now.Before(u.withheldUntil) {
+			busy = busy || u.withheldUntil.Before(l.waitsUntil)
 			continue
 		}
 		if now.Before(u.restsUntil) {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -132,6 +132,23 @@
 	}
 }
 
+// Successor returns an engine that takes over after an unexpected error in this
+// one. It keeps what bounds the sends to upstreams, knows nothing else, and uses
+// none of this one's attempt numbers.
+func (e *Engine) Successor() *Engine {
+	next := New(e.options)
+	next.sequence = e.sequence
+	next.budgets = e.budgets
+	next.directory.notices = e.directory.notices
+	next.stats = e.stats
+	return next
+}
+
+// Unanswered returns the calls that have no answer yet.
+func (e *Engine) Unanswered() []core.CallID {
+	return slices.AppendSeq(slices.Collect(maps.Keys(e.calls)), maps.Keys(e.handovers))
+}
+
 // Ready says that this host can send to upstreams: a configuration and the
 // upstreams are known.
 func (e *Engine) Ready() bool { return e.config != nil && e.directory.everListed }
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -44,6 +44,8 @@
 	Took time.Duration
 	// RelayFault says that the relay failed, not the upstream.
 	RelayFault bool
+	// Notice is what the upstream said of itself.
+	Notice Notice
 }
 
 // ConfigSeen is a version of the configuration, which may be an old one.
@@ -136,14 +138,20 @@
 	// NotRelayed: the host that should have relayed the request did not send
 	// it.
 	NotRelayed
+	// Withheld: the request was not sent, since the upstream had asked for
+	// that meanwhile.
+	Withheld
 )
 
-var outcomeNames = [...]string{"succeeded", "failed", "not executed", "wrong instance", "unreached", "lost", "not relayed"}
+var outcomeNames = [...]string{"succeeded", "failed", "not executed", "wrong instance", "unreached", "lost", "not relayed", "withheld"}
 
 // String returns the outcome as the log prints it.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// Arrived says that the upstream got the request, or may have.
+func (o Outcome) Arrived() bool { return o != Unreached && o != NotRelayed && o != Withheld }
+
 // SurelyNotRun says that the attempt did not run and never will.
 func (o Outcome) SurelyNotRun() bool {
-	return o == NotExecuted || o == WrongInstance || o == Unreached || o == NotRelayed
+	return o == NotExecuted || o == WrongInstance || !o.Arrived()
 }
--- /dev/null
+++ b/core/scatter/notices.go
@@ -0,0 +1,124 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// maxNotices bounds the upstreams of which a notice is remembered.
+	maxNotices = 8192
+	// maxRetryAfter bounds how long an upstream may ask to be left alone.
+	maxRetryAfter = 5 * time.Minute
+)
+
+// Notice is what an upstream says of itself beside an answer.
+type Notice struct {
+	// Leaving says that the upstream is about to stop.
+	Leaving bool
+	// RetryAfter is for how long the upstream wants nothing from the host that
+	// it turned away; 0 is no wish.
+	RetryAfter time.Duration
+}
+
+// Notices remembers the notices of upstreams. It holds them by start of the
+// upstream, since a new start under the same ID neither leaves nor is full.
+// Entries of the registry do not clear them: they can be older.
+//
+// It is not safe for concurrent use.
+type Notices struct {
+	byStart map[upstreamStart]noticed
+}
+
+// upstreamStart names one start of an upstream.
+type upstreamStart struct {
+	id      core.UpstreamID
+	address string
+	started int64
+}
+
+type noticed struct {
+	at      time.Time
+	leaving bool
+	// until is when the upstream takes requests of this host again.
+	until time.Time
+}
+
+// NewNotices returns an empty memory.
+func NewNotices() *Notices { return &Notices{byStart: map[upstreamStart]noticed{}} }
+
+func startOf(u Upstream) upstreamStart { return upstreamStart{u.ID, u.Address, u.Started} }
+
+// Take remembers a notice; news is false when it says nothing that was not
+// known.
+func (n *Notices) Take(now time.Time, from Upstream, notice Notice) (news bool) {
+	if !notice.Leaving && notice.RetryAfter <= 0 {
+		return false
+	}
+	key := startOf(from)
+	known, found := n.byStart[key]
+	if !found && len(n.byStart) >= maxNotices {
+		n.forgetOldest()
+	}
+	until := known.until
+	if notice.RetryAfter > 0 {
+		if end := now.Add(min(notice.RetryAfter, maxRetryAfter)); end.After(until) {
+			until = end
+		}
+	}
+	news = notice.Leaving && !known.leaving || until.After(known.until)
+	n.byStart[key] = noticed{at: now, leaving: known.leaving || notice.Leaving, until: until}
+	return news
+}
+
+func (n *Notices) forgetOldest() {
+	var oldest upstreamStart
+	var at time.Time
+	for key, known := range n.byStart {
+		if at.IsZero() || known.at.Before(at) {
+			oldest, at = key, known.at
+		}
+	}
+	delete(n.byStart, oldest)
+}
+
+// Of returns what is known of an upstream: whether it leaves, and for how much
+// longer it wants nothing.
+func (n *Notices) Of(now time.Time, u Upstream) Notice {
+	known := n.byStart[startOf(u)]
+	return Notice{Leaving: known.leaving, RetryAfter: max(0, known.until.Sub(now))}
+}
+
+// Forbids says that an upstream is to get no request at present.
+func (n Notice) Forbids() bool { return n.Leaving || n.RetryAfter > 0 }
+
+// takeNotice updates what is believed of an upstream.
+func (e *Engine) takeNotice(now time.Time, u *upstream, notice Notice) {
+	if !e.directory.notices.Take(now, u.Upstream, notice) {
+		return
+	}
+	known := e.directory.notices.Of(now, u.Upstream)
+	if known.Leaving && !u.leaving {
+		u.leaving = true
+		e.noteUpstream(u, DecisionLeaving)
+	}
+	end := now.Add(known.RetryAfter)
+	if !end.After(u.withheldUntil) {
+		return
+	}
+	u.withheldUntil = end
+	e.note(Note{Decision: DecisionWithheld, Upstream: u.ID, Service: u.Service, Version: e.Version(), Age: known.RetryAfter, Detail: u.Address})
+	e.timers.Add(end, func(now time.Time) { e.serveWaiting(now, u.Service) })
+}
+
+// freeAt returns when the first upstream of a service takes requests again,
+// as far as they said; false when all leave or are out.
+func (e *Engine) freeAt(id core.ServiceID) (at time.Time, found bool) {
+	for _, u := range e.directory.byService[id] {
+		if e.mayTake(u) && (!found || u.withheldUntil.Before(at)) {
+			at, found = u.withheldUntil, true
+		}
+	}
+	return at, found
+}
--- /dev/null
+++ b/core/scatter/notices_test.go
@@ -0,0 +1,200 @@
+package scatter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// says lets the upstreams named say something of themselves in each answer.
+func says(notice scatter.Notice, ids ...core.UpstreamID) func(scatter.Send) scatter.Notice {
+	return func(s scatter.Send) scatter.Notice {
+		for _, id := range ids {
+			if s.Target.ID == id {
+				return notice
+			}
+		}
+		return scatter.Notice{}
+	}
+}
+
+// TestUpstreamThatSaysItLeavesGetsNothing: the word holds for that start of the
+// upstream, whatever the registry says of it afterwards.
+func TestUpstreamThatSaysItLeavesGetsNothing(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.notice = says(scatter.Notice{Leaving: true}, "files-a")
+	for r.sentTo("files-a") == 0 {
+		r.ask(fetchPath)
+		r.run(20 * ms)
+	}
+	entry := pair("files")[0]
+	for _, event := range []scatter.Event{
+		scatter.Tick{},
+		scatter.UpstreamSeen{Upstream: entry}, // an entry from before
+		scatter.UpstreamRemoved{ID: entry.ID},
+		scatter.UpstreamSeen{Upstream: entry}, // it had only lapsed
+	} {
+		before := r.sentTo("files-a")
+		r.step(event)
+		for range 20 {
+			r.ask(fetchPath)
+			r.run(20 * ms)
+		}
+		if after := r.sentTo("files-a"); after != before {
+			t.Errorf("%T: %d requests reached it", event, after-before)
+		}
+	}
+	r.notice = nil
+	entry.Started++
+	r.step(scatter.UpstreamSeen{Upstream: entry})
+	before := r.sentTo("files-a")
+	for range 20 {
+		r.ask(fetchPath)
+		r.run(20 * ms)
+	}
+	if r.sentTo("files-a") == before {
+		t.Error("its next start gets nothing either")
+	}
+}
+
+// TestWaitingPartsAvoidWhatLeaves: requests that wait for an upstream when it
+// says that it leaves go elsewhere, and one hedged there is answered.
+func TestWaitingPartsAvoidWhatLeaves(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.ID == "files-a" {
+			return 60 * ms, scatter.Succeeded
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	r.notice = says(scatter.Notice{Leaving: true}, "files-a")
+	var calls []core.CallID
+	for range 30 { // more than both upstreams take at once
+		calls = append(calls, r.ask(fetchPath))
+	}
+	r.run(59 * ms)
+	before := r.sentTo("files-a")
+	r.run(time.Second)
+	if after := r.sentTo("files-a"); before == 0 || after != before {
+		t.Errorf("%d requests before its word, %d after", before, after-before)
+	}
+	for _, call := range calls {
+		r.want(call, scatter.PassedOn)
+	}
+}
+
+// TestUpstreamThatWantsNothingIsLeftAlone is a wave that one upstream turns away
+// with a time.
+func TestUpstreamThatWantsNothingIsLeftAlone(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.ID == "files-a" {
+			return 5 * ms, scatter.NotExecuted
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	r.notice = says(scatter.Notice{RetryAfter: 700 * ms}, "files-a")
+	for r.sentTo("files-a") == 0 {
+		r.ask(fetchPath)
+		r.run(10 * ms)
+	}
+	told := r.now
+	for range 6 { // waves of more than the other one takes at once
+		var wave []core.CallID
+		for range 12 {
+			wave = append(wave, r.ask(fetchPath))
+		}
+		r.run(100 * ms)
+		for _, call := range wave {
+			r.want(call, scatter.PassedOn)
+		}
+	}
+	if got := r.sentTo("files-a"); got != 1 {
+		t.Errorf("%d requests reached it within the time", got)
+	}
+	r.notice, r.serve = nil, nil
+	r.run(told.Add(710 * ms).Sub(r.now))
+	for range 20 { // more than the other one takes at once
+		r.ask(fetchPath)
+	}
+	r.run(100 * ms)
+	if r.sentTo("files-a") == 1 {
+		t.Error("it is left alone when the time is over")
+	}
+}
+
+func (r *rig) askAndRun(path string, d time.Duration) {
+	r.ask(path)
+	r.run(d)
+}
+
+// TestAllUpstreamsWantNothing: the caller learns at once when to come back, or
+// gets the answer without the part.
+func TestAllUpstreamsWantNothing(t *testing.T) {
+	turnAway := func(r *rig, ids ...core.UpstreamID) {
+		r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+			if says(scatter.Notice{Leaving: true}, ids...)(s).Leaving {
+				return 2 * ms, scatter.NotExecuted
+			}
+			return 2 * ms, scatter.Succeeded
+		}
+		r.notice = says(scatter.Notice{RetryAfter: 300 * ms}, ids...)
+	}
+	t.Run("one service", func(t *testing.T) {
+		r := newRig(t)
+		r.configure(1, 4)
+		turnAway(r, "files-a", "files-b")
+		r.askAndRun(fetchPath, 20*ms)
+		call := r.ask(fetchPath)
+		answer := r.want(call, scatter.Refused)
+		if r.answered[call] != r.now || answer.RetryAfter < 200*ms || answer.RetryAfter > 300*ms {
+			t.Errorf("refused after %v, to come back after %v", r.answered[call].Sub(r.now), answer.RetryAfter)
+		}
+	})
+	t.Run("one shard of four", func(t *testing.T) {
+		r := newRig(t)
+		r.configure(1, 4)
+		turnAway(r, "shard00-a", "shard00-b")
+		r.askAndRun(gatherPath, 20*ms)
+		call := r.ask(gatherPath)
+		r.run(10 * ms)
+		if answer := r.want(call, scatter.Gathered); answer.Missing != 1 {
+			t.Errorf("%d parts are missing", answer.Missing)
+		}
+	})
+	t.Run("too many shards, but not for long", func(t *testing.T) {
+		r := newRig(t)
+		r.configure(1, 4)
+		turnAway(r, "shard00-a", "shard00-b", "shard01-a", "shard01-b")
+		r.askAndRun(gatherPath, 20*ms)
+		call := r.ask(gatherPath)
+		r.notice, r.serve = nil, nil
+		r.run(320 * ms)
+		r.want(call, scatter.Gathered)
+	})
+}
+
+// TestNoticesAreBounded covers their number and nonsense in them.
+func TestNoticesAreBounded(t *testing.T) {
+	n := scatter.NewNotices()
+	of := func(i int) scatter.Upstream { return scatter.Upstream{ID: core.UpstreamID(fmt.Sprint("u-", i))} }
+	for i := range 20_000 {
+		n.Take(epoch.Add(time.Duration(i)), of(i), scatter.Notice{Leaving: true})
+	}
+	if n.Of(epoch, of(0)).Leaving || !n.Of(epoch, of(19_999)).Leaving {
+		t.Error("the newest are not the ones that are remembered")
+	}
+	n.Take(epoch, of(1), scatter.Notice{RetryAfter: 240 * time.Hour})
+	if got := n.Of(epoch.Add(10*time.Minute), of(1)); got.Forbids() {
+		t.Errorf("still %v after ten minutes", got.RetryAfter)
+	}
+	if n.Take(epoch, of(2), scatter.Notice{RetryAfter: -time.Second}) {
+		t.Error("a wait below zero is news")
+	}
+}
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -26,6 +26,8 @@
 	serve func(s scatter.Send) (after time.Duration, outcome scatter.Outcome)
 	// relayed says how a relay answers a send; nil leaves that to serve.
 	relayed func(s scatter.Send) (after time.Duration, replied scatter.Replied)
+	// notice is what an upstream says of itself beside its answer.
+	notice func(s scatter.Send) scatter.Notice
 	// peer says how a host answers a handover.
 	peer func(h scatter.Handover) (after time.Duration, outcome scatter.Outcome)
 
@@ -84,6 +86,9 @@
 		if s.Via.ID != "" && r.relayed != nil {
 			after, replied = r.relayed(s)
 		}
+		if r.notice != nil {
+			replied.Notice = r.notice(s)
+		}
 		replied.Attempt, replied.Payload = s.Attempt, string(s.Target.ID)
 		r.later.Add(r.now.Add(after), func() { r.step(replied) })
 	}
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/platform"
 )
 
 const (
@@ -32,7 +33,7 @@
 // conn is one connection to an upstream. It carries one request at a time.
 type conn struct {
 	raw     net.Conn
-	reader  *bufio.Reader
+	reader  *platform.ReplyReader
 	writer  *bufio.Writer
 	target  scatter.Upstream
 	restsAt time.Time // when it became idle
@@ -180,7 +181,7 @@
 func newConn(raw net.Conn, target scatter.Upstream) *conn {
 	return &conn{
 		raw:    raw,
-		reader: bufio.NewReaderSize(raw, upstreamBuffer),
+		reader: platform.NewReplyReader(raw, upstreamBuffer),
 		writer: bufio.NewWriterSize(raw, upstreamBuffer),
 		target: target,
 	}
--- a/edge/decision.go
+++ b/edge/decision.go
@@ -28,6 +28,8 @@
 	core    *scatter.Engine
 	inbox   *ring.Ring[input]
 	perform func(now time.Time, actions *scatter.Actions)
+	// renew replaces a core whose state an unexpected error may have broken.
+	renew   func(old *scatter.Engine, during scatter.Event, cause any) *scatter.Engine
 	actions scatter.Actions
 }
 
@@ -53,6 +55,11 @@
 }
 
 func (d *decision) take(in input) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			d.core = d.renew(d.core, in.event, cause)
+		}
+	}()
 	if in.ask != nil {
 		in.ask(d.core)
 		return
@@ -71,7 +78,7 @@
 	select {
 	case <-d.inbox.Ready():
 	case <-timer.C:
-		d.step(scatter.Tick{})
+		d.take(input{event: scatter.Tick{}})
 	}
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -70,6 +70,7 @@
 	objects *platform.Objects
 	peers   *peers
 	log     zerolog.Logger
+	panics  *panics
 	self    scatter.Host
 	seeds   []string
 	contact time.Duration // see HostSettings.Contact
@@ -89,8 +90,8 @@
 	started    time.Time
 }
 
-func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, self scatter.Host, seeds []string, deliver func(platform.News)) *registry {
-	r := &registry{objects: objects, peers: p, log: log, self: self, seeds: seeds, hubs: map[string]*hub{}, started: time.Now()}
+func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, errors *panics, self scatter.Host, seeds []string, deliver func(platform.News)) *registry {
+	r := &registry{objects: objects, peers: p, log: log, panics: errors, self: self, seeds: seeds, hubs: map[string]*hub{}, started: time.Now()}
 	logged := func(news platform.News) {
 		for _, problem := range news.Problems {
 			log.Warn().Str("event", "entry_ignored").AnErr("cause", problem).Msg("an entry names nothing to use")
@@ -157,6 +158,7 @@
 		lists.Go(func() {
 			attempt, cancel := context.WithTimeout(ctx, listTimeout)
 			defer cancel()
+			defer r.panics.caught("registry", "", nil)
 			update, err := hub.feed.List(attempt)
 			if err != nil {
 				r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("feed", hub.feed.Name).AnErr("cause", err).Msg("the streams have to bring it")
@@ -188,6 +190,7 @@
 // learnHosts reads the hosts once, from a seed or, if none answers soon, from
 // the store.
 func (r *registry) learnHosts(ctx context.Context) {
+	defer r.panics.caught("registry", "", nil)
 	if r.askSeeds(ctx) {
 		return
 	}
@@ -211,7 +214,10 @@
 			return false // a seed asks the store, for the others
 		}
 		asked++
-		go func() { answers <- r.snapshot(ctx, seed) }()
+		go func() {
+			defer r.panics.caught("registry", "", func() { answers <- errUnexpected })
+			answers <- r.snapshot(ctx, seed)
+		}()
 	}
 	patience := time.After(seedTimeout)
 	for range asked {
@@ -244,7 +250,8 @@
 
 // follow takes a host's stream until it ends; up is called after the first
 // update.
-func (r *registry) follow(ctx context.Context, address string, feeds []string, up func()) error {
+func (r *registry) follow(ctx context.Context, address string, feeds []string, up func()) (err error) {
+	defer r.panics.caught("registry", "", func() { err = errUnexpected })
 	client, err := r.peers.client(address)
 	if err != nil {
 		return err
@@ -291,6 +298,21 @@
 	return nil
 }
 
+// retellPause lets a core that met an error take breath, should what it is told
+// bring the error about.
+const retellPause = 50 * time.Millisecond
+
+// retell tells a new core what is known.
+func (r *registry) retell() {
+	time.Sleep(retellPause)
+	for _, hub := range r.hubs {
+		hub.retell()
+	}
+	r.sourceLock.Lock()
+	defer r.sourceLock.Unlock()
+	r.onReachable(r.sourced == len(r.hubs))
+}
+
 // sourceChanged counts the feeds that have a source.
 func (r *registry) sourceChanged(up bool) {
 	r.sourceLock.Lock()
@@ -447,7 +469,7 @@
 	storeCtx, cancel := context.WithCancel(ctx)
 	w.store = cancel
 	for _, hub := range w.registry.hubs {
-		reader := &storeReader{hub: hub, contact: w.registry.contact, log: w.registry.log}
+		reader := &storeReader{hub: hub, contact: w.registry.contact, log: w.registry.log, panics: w.registry.panics}
 		w.duties.Go(func() { reader.run(storeCtx) })
 	}
 }
--- a/edge/front.go
+++ b/edge/front.go
@@ -21,6 +21,12 @@
 	fallbackIdleTimeout   = 60 * time.Second
 	fallbackHeaderBytes   = 64 << 10
 	fallbackBodyBytes     = 1 << 20
+	// mostHeaderBytes is read of a head before the operators' limit is looked
+	// at.
+	mostHeaderBytes = 256 << 10
+	// writeTimeout ends the writing of a long answer that the caller does not
+	// read.
+	writeTimeout = 30 * time.Second
 )
 
 // pending is a caller's request that has no answer yet.
@@ -39,7 +45,10 @@
 	server   *http.Server
 	sequence atomic.Uint64
 	stopping atomic.Bool
+	maxHead  atomic.Int64
 	maxBody  atomic.Int64
+	memory   *platform.Memory
+	panics   *panics
 	maxIdle  atomic.Int64 // nanoseconds
 
 	mu    sync.Mutex
@@ -47,14 +56,16 @@
 	idle  map[net.Conn]time.Time // callers' connections, since when they rest
 }
 
-func newFront(inbox func(scatter.Event) bool, m *meters) *front {
-	f := &front{inbox: inbox, metrics: m, calls: map[core.CallID]*pending{}, idle: map[net.Conn]time.Time{}}
+func newFront(inbox func(scatter.Event) bool, m *meters, memory *platform.Memory, p *panics) *front {
+	f := &front{inbox: inbox, metrics: m, memory: memory, panics: p, calls: map[core.CallID]*pending{}, idle: map[net.Conn]time.Time{}}
+	f.maxHead.Store(fallbackHeaderBytes)
 	f.maxBody.Store(fallbackBodyBytes)
 	f.maxIdle.Store(int64(fallbackIdleTimeout))
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: fallbackHeaderTimeout,
-		MaxHeaderBytes:    fallbackHeaderBytes,
+		MaxHeaderBytes:    mostHeaderBytes,
+		ErrorLog:          p.standardLog("callers"),
 		ConnState:         f.connState,
 	}
 	return f
@@ -62,6 +73,9 @@
 
 // limit takes what the configuration in force allows callers.
 func (f *front) limit(limits scatter.CallerLimits) {
+	if limits.MaxHeaderBytes > 0 {
+		f.maxHead.Store(int64(limits.MaxHeaderBytes))
+	}
 	if limits.MaxBodyBytes > 0 {
 		f.maxBody.Store(limits.MaxBodyBytes)
 	}
@@ -111,30 +125,81 @@
 }
 
 func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	asked := false
+	defer f.panics.caught("callers", platform.RequestID(r.Header), func() {
+		// Before the core was asked nothing can have run.
+		kind := scatter.Refused
+		if asked {
+			kind = scatter.UpstreamsFailed
+		}
+		w.Header().Set("Connection", "close")
+		_ = platform.WriteReply(w, platform.Render(platform.CallerRequest{}, scatter.Answer{Kind: kind, RetryAfter: fullRetry}))
+	})
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, f.maxBody.Load())
-	request, err := platform.ReadRequest(r)
+	request, err := f.read(w, r)
 	if err != nil {
-		var readError *platform.ReadError
-		if errors.As(err, &readError) {
-			platform.WriteReadError(w, readError)
-		}
+		platform.WriteReadError(w, err)
+		f.metrics.unread.Inc(1)
 		return
 	}
+	defer request.Release()
 	started := time.Now()
+	asked = true
 	answer, left := f.ask(r.Context(), request, scatter.Arrived{At: started})
 	if left {
-		return
+		panic(http.ErrAbortHandler) // without it the library would answer 200
 	}
 	if f.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := platform.WriteReply(w, platform.Render(request, answer)); err != nil {
+	f.write(w, platform.Render(request, answer))
+	f.metrics.latency.UpdateSince(started)
+}
+
+// read takes a caller's request. A caller has as long for a body as it waits
+// for the answer.
+func (f *front) read(w http.ResponseWriter, r *http.Request) (platform.CallerRequest, *platform.ReadError) {
+	limits := platform.RequestLimits{HeaderBytes: int(f.maxHead.Load()), BodyBytes: f.maxBody.Load(), Memory: f.memory}
+	if r.ContentLength == 0 {
+		return platform.ReadRequest(r, limits)
+	}
+	wait := platform.CallerWaits(r.Header)
+	if wait == 0 {
+		wait = time.Duration(f.maxIdle.Load())
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return platform.CallerRequest{}, &platform.ReadError{Status: http.StatusServiceUnavailable, Cause: err}
+	}
+	request, failed := platform.ReadRequest(r, limits)
+	if failed != nil {
+		return request, failed
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return request, &platform.ReadError{Status: http.StatusServiceUnavailable, Cause: err}
+	}
+	return request, nil
+}
+
+// write hands an answer to the caller.
+func (f *front) write(w http.ResponseWriter, reply *platform.Reply) {
+	defer reply.Release()
+	control := http.NewResponseController(w)
+	long := len(reply.Body) > largeBody
+	if long {
+		// The error says that there is no deadline to be had, as in tests.
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	}
+	if err := platform.WriteReply(w, reply); err != nil {
 		f.metrics.answersCut.Inc(1)
+		return
+	}
+	if long {
+		_ = control.Flush()
+		_ = control.SetWriteDeadline(time.Time{})
 	}
-	f.metrics.latency.UpdateSince(started)
 }
 
 // ask puts a request to the core and waits for its answer; left means that the
@@ -179,8 +244,13 @@
 
 // answer hands an answer to the waiting request.
 func (f *front) answer(answer scatter.Answer) {
-	if p := f.find(answer.Call); p != nil {
-		p.answer <- answer
+	p := f.find(answer.Call)
+	if p == nil {
+		return
+	}
+	select {
+	case p.answer <- answer:
+	default: // it has one: the core began anew after an error
 	}
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -32,6 +32,9 @@
 	lingerShare = 0.65
 	// finishShare of the time until the kill, everything ends.
 	finishShare = 0.93
+	// bodyShare of the process's memory is for the large bodies of all requests
+	// and answers under way. The heap limit leaves room for it twice.
+	bodyShare = 0.25
 )
 
 // Host is one running host.
@@ -41,6 +44,7 @@
 	log      zerolog.Logger
 	logs     io.Closer
 	meters   *meters
+	panics   *panics
 	inbox    *ring.Ring[input]
 	decision *decision
 	front    *front
@@ -78,20 +82,22 @@
 	h.log, h.logs = newLog(out, level, string(place.Host), string(place.Domain), func(missed int) {
 		h.meters.logDropped.Inc(int64(missed))
 	})
+	h.panics = &panics{log: h.log, count: h.meters.panics}
 	h.notes = newNoteWriter(h.log)
-	h.sender = newSender(h.report)
-	h.relays = newRelayLinks(h.peers, func(r scatter.Replied) {
+	memory := platform.NewMemory(int64(bodyShare * float64(place.MemoryBytes)))
+	h.sender = newSender(h.report, memory, h.panics)
+	h.relays = newRelayLinks(h.peers, h.panics, func(r scatter.Replied) {
 		h.sender.untrack(r.Attempt)
 		h.report(r)
 	})
-	h.front = newFront(h.offer, h.meters)
+	h.front = newFront(h.offer, h.meters, memory, h.panics)
 	self := scatter.Host{ID: place.Host, Domain: place.Domain, Address: place.Control, Power: place.Power}
-	h.registry = newRegistry(h.objects, h.peers, h.log, self, place.Seeds, h.deliver)
+	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, place.Seeds, h.deliver)
 	h.registry.contact = place.Contact
 	h.registry.firstStart = place.FirstStart
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
-	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform}
+	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform, renew: h.renewCore}
 	if err := h.listen(); err != nil {
 		h.closeListeners()
 		return nil, err
@@ -113,6 +119,25 @@
 	})
 }
 
+// renewCore puts a new core in the place of one that met an unexpected error.
+// Calls under way get their final answer at once, and what the new core has to
+// know is told to it as at a start.
+func (h *Host) renewCore(old *scatter.Engine, during scatter.Event, cause any) *scatter.Engine {
+	arrived, arrives := during.(scatter.Arrived)
+	h.panics.note("decision", arrived.RequestID, cause)
+	for _, call := range old.Unanswered() {
+		if !arrives || call != arrived.Call {
+			h.front.answer(scatter.Answer{Call: call, Kind: scatter.UpstreamsFailed})
+		}
+	}
+	if arrives {
+		// What its step decided was not carried out.
+		h.front.answer(scatter.Answer{Call: arrived.Call, Kind: scatter.Refused, RetryAfter: fullRetry})
+	}
+	go h.registry.retell()
+	return old.Successor()
+}
+
 // listen opens the addresses for callers, for the readiness check and, if one
 // is set, for metrics.
 func (h *Host) listen() (err error) {
@@ -222,7 +247,9 @@
 	p.endHandover = cancel
 	go func() {
 		defer cancel()
-		ended := h.peers.runAt(ctx, handover, p.request)
+		ended := scatter.HandoverEnded{Call: handover.Call, To: handover.To.ID, Outcome: scatter.Lost, Cause: "unexpected error"}
+		defer h.panics.caught("handover", p.request.ID, func() { h.report(ended) })
+		ended = h.peers.runAt(ctx, handover, p.request)
 		if ctx.Err() == nil {
 			h.report(ended)
 		}
@@ -290,16 +317,19 @@
 	h.duties.Go(func() { h.registry.run(ctx) })
 	serve(func() error { return h.server.Serve(h.control) })
 	serve(func() error { return h.front.run(h.callers) })
-	serve(func() error { return serveUntilClosed(h.readiness, http.HandlerFunc(h.serveReady)) })
+	serve(func() error { return h.serveUntilClosed(h.readiness, http.HandlerFunc(h.serveReady)) })
 	if h.admin != nil {
 		router := chi.NewRouter()
 		router.Get("/metrics", h.serveMetrics)
-		serve(func() error { return serveUntilClosed(h.admin, router) })
+		serve(func() error { return h.serveUntilClosed(h.admin, router) })
 	}
 }
 
-func serveUntilClosed(listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: fallbackHeaderTimeout, IdleTimeout: fallbackIdleTimeout}
+func (h *Host) serveUntilClosed(listener net.Listener, handler http.Handler) error {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: fallbackHeaderTimeout, IdleTimeout: fallbackIdleTimeout,
+		MaxHeaderBytes: fallbackHeaderBytes, ErrorLog: h.panics.standardLog("admin"),
+	}
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// retell delivers everything again.
+func (h *hub) retell() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.known {
+		h.deliver(h.feed.Events(h.whole()))
+	}
+}
+
 // apply takes an update from a source. False means that changes before it are
 // missing: the source has to send everything.
 func (h *hub) apply(u platform.Update) bool {
@@ -63,8 +72,10 @@
 			h.objects[c.Object.Meta.Name] = c
 		}
 	}
-	h.known, h.revision = true, u.Revision
+	// Should the delivery end in a panic, everything is asked for again.
+	h.known, h.revision = false, u.Revision
 	h.deliver(h.feed.Events(u))
+	h.known = true
 	h.publish(u)
 	return true
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -25,6 +25,8 @@
 	latency    latency
 	answersCut metrics.Counter
 	inboxFull  metrics.Counter
+	unread     metrics.Counter
+	panics     metrics.Counter
 	logDropped metrics.Counter
 	outcomes   map[scatter.Outcome]metrics.Counter
 }
@@ -44,10 +46,12 @@
 		latency:    latency{metrics.NewRegisteredHistogram("request_us", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))},
 		answersCut: metrics.NewRegisteredCounter("answers_cut", r),
 		inboxFull:  metrics.NewRegisteredCounter("inbox_full", r),
+		unread:     metrics.NewRegisteredCounter("requests_unread", r),
+		panics:     metrics.NewRegisteredCounter("panics", r),
 		logDropped: metrics.NewRegisteredCounter("log_lines_dropped", r),
 		outcomes:   map[scatter.Outcome]metrics.Counter{},
 	}
-	for o := scatter.Succeeded; o <= scatter.NotRelayed; o++ {
+	for o := scatter.Succeeded; o <= scatter.Withheld; o++ {
 		m.outcomes[o] = metrics.NewRegisteredCounter("attempts_"+metricName(o.String()), r)
 	}
 	return m
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -35,6 +35,9 @@
 	peerPing           = 10 * time.Second
 	// peerMessageBytes is the most bytes of one message.
 	peerMessageBytes = 32 << 20
+	// peerHeaderBytes is the most bytes of a call's headers, which carry nothing
+	// of a request.
+	peerHeaderBytes = 32 << 10
 	// peerWindow is the flow-control window of a stream and of a connection.
 	// A fixed one keeps the library from probing the bandwidth with pings.
 	peerWindow = 1 << 20
@@ -67,6 +70,7 @@
 			MinConnectTimeout: peerConnectTimeout,
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: peerPing, Timeout: peerUnacknowledged}),
+		grpc.WithMaxHeaderListSize(peerHeaderBytes),
 		grpc.WithInitialWindowSize(peerWindow),
 		grpc.WithInitialConnWindowSize(peerWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(peerMessageBytes)),
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -38,6 +38,7 @@
 	hub      *hub
 	contact  time.Duration // see HostSettings.Contact
 	log      zerolog.Logger
+	panics   *panics
 	up       bool
 	failures int
 }
@@ -48,7 +49,7 @@
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
-		update, err := r.next(ctx, listed, revision)
+		update, applied, err := r.step(ctx, listed, revision)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
 			listed = false
@@ -58,7 +59,7 @@
 		default:
 			r.succeeded()
 			revision = update.Revision
-			listed = r.hub.apply(update)
+			listed = applied
 			r.hub.setStoreUp(true)
 			if len(update.Changes) > 0 {
 				pause(ctx, batchChanges)
@@ -67,6 +68,15 @@
 	}
 }
 
+// step makes one call and applies what it brought.
+func (r *storeReader) step(ctx context.Context, listed bool, revision uint64) (update platform.Update, applied bool, err error) {
+	defer r.panics.caught("registry", "", func() { err = errUnexpected })
+	if update, err = r.next(ctx, listed, revision); err == nil {
+		applied = r.hub.apply(update)
+	}
+	return update, applied, err
+}
+
 // next makes one call. While the store does not answer, calls are short, so
 // that its return is noticed soon.
 func (r *storeReader) next(ctx context.Context, listed bool, revision uint64) (platform.Update, error) {
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -20,6 +20,7 @@
 // relayLinks hold one stream to each host that relays for this one.
 type relayLinks struct {
 	peers  *peers
+	panics *panics
 	report func(scatter.Replied)
 
 	ctx   context.Context // of all streams
@@ -29,14 +30,15 @@
 	links map[string]*relayLink // by address
 }
 
-func newRelayLinks(p *peers, report func(scatter.Replied)) *relayLinks {
+func newRelayLinks(p *peers, errors *panics, report func(scatter.Replied)) *relayLinks {
 	ctx, end := context.WithCancel(context.Background())
-	return &relayLinks{peers: p, report: report, ctx: ctx, close: end, links: map[string]*relayLink{}}
+	return &relayLinks{peers: p, panics: errors, report: report, ctx: ctx, close: end, links: map[string]*relayLink{}}
 }
 
 // relayLink is the stream to one relay, opened when it is first used.
 type relayLink struct {
 	report   func(scatter.Replied)
+	panics   *panics
 	open     func(context.Context) (grpc.BidiStreamingClient[edgepb.RelayRequest, edgepb.RelayReply], error)
 	outgoing chan relayMessage
 
@@ -71,6 +73,7 @@
 	if link == nil {
 		link = &relayLink{
 			report:   l.report,
+			panics:   l.panics,
 			outgoing: make(chan relayMessage, relayQueue),
 			calls:    map[uint64]*relayCall{},
 			open: func(ctx context.Context) (grpc.BidiStreamingClient[edgepb.RelayRequest, edgepb.RelayReply], error) {
@@ -168,7 +171,8 @@
 }
 
 // serve carries messages both ways until the stream ends.
-func (l *relayLink) serve(ctx context.Context, first relayMessage) error {
+func (l *relayLink) serve(ctx context.Context, first relayMessage) (err error) {
+	defer l.panics.caught("relay client", first.call.request.ID, func() { err = errUnexpected })
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := l.open(ctx)
@@ -176,7 +180,10 @@
 		return err
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- l.receive(stream) }()
+	go func() {
+		defer l.panics.caught("relay client", "", func() { ended <- errUnexpected })
+		ended <- l.receive(stream)
+	}()
 	refs := relayRefs{}
 	for message := first; ; {
 		if encoded := l.encode(message, refs); encoded != nil {
@@ -306,6 +313,7 @@
 		Outcome: scatter.Outcome(part.GetOutcome()),
 		Cause:   part.Cause,
 		Took:    time.Duration(part.TookUs) * time.Microsecond,
+		Notice:  scatter.Notice{Leaving: part.Leaving},
 	}
 	if replied.Outcome == scatter.Succeeded {
 		replied.Payload = platform.NewPart(part.Signature, part.Records)
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -19,6 +19,7 @@
 // relayStream is the work for one other host, whose stream carries it.
 type relayStream struct {
 	sender  *sender
+	panics  *panics
 	stream  grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
 	version *atomic.Uint64 // of the configuration in force at this host
 	// targets are the upstreams that the stream has named; only its reader
@@ -35,11 +36,14 @@
 // Relay implements edgepb.EdgeServer.
 func (s *service) Relay(stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]) error {
 	r := &relayStream{
-		sender: s.host.sender, stream: stream, version: &s.host.version,
+		sender: s.host.sender, panics: s.host.panics, stream: stream, version: &s.host.version,
 		targets: map[uint32]scatter.Send{}, cancels: map[uint64]context.CancelFunc{},
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- r.receive() }()
+	go func() {
+		defer r.panics.caught("relay", "", func() { ended <- errUnexpected })
+		ended <- r.receive()
+	}()
 	select {
 	case err := <-ended:
 		return err // what runs ends with the stream
@@ -95,6 +99,10 @@
 	for i, send := range sends {
 		parts.Go(func() {
 			started := time.Now()
+			defer r.panics.caught("relay", message.ID, func() {
+				part := &edgepb.RelayedPart{Index: int32(i), Outcome: int32(scatter.Lost), Cause: errUnexpected.Error()}
+				r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
+			})
 			replied := r.sender.relay(ctx, send, message.Forward)
 			part := encodePart(i, replied, time.Since(started), int(request.Top))
 			r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
@@ -141,7 +149,7 @@
 			}
 		}
 		sends[i] = r.targets[target.Ref]
-		sends[i].Deadline = deadline
+		sends[i].Deadline, sends[i].Top = deadline, int(request.Top)
 	}
 	return sends
 }
@@ -159,5 +167,11 @@
 	if reply, whole := replied.Payload.(*platform.Reply); whole && replied.Outcome == scatter.Succeeded {
 		part.Signature, part.Records = reply.Part(top)
 	}
+	// A wish to be left alone concerns this host only: the other one may send
+	// the part by itself.
+	part.Leaving = replied.Notice.Leaving
+	if replied.Outcome == scatter.Withheld {
+		part.Outcome = int32(scatter.NotRelayed)
+	}
 	return part
 }
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -20,6 +20,9 @@
 	report func(scatter.Event)
 	pools  *pools
 	dialer net.Dialer
+	memory *platform.Memory // for the bodies of answers
+	wishes wishes
+	panics *panics
 
 	mu      sync.Mutex
 	running map[uint64]*sending
@@ -32,9 +35,12 @@
 	cancelled bool
 }
 
-func newSender(report func(scatter.Event)) *sender {
+func newSender(report func(scatter.Event), memory *platform.Memory, p *panics) *sender {
 	return &sender{
 		report:  report,
+		memory:  memory,
+		wishes:  newWishes(),
+		panics:  p,
 		pools:   newPools(),
 		dialer:  net.Dialer{KeepAlive: -1},
 		running: map[uint64]*sending{},
@@ -118,11 +124,23 @@
 	}
 }
 
-// run makes one attempt. It returns the connection if it can be used again.
-func (s *sender) run(send scatter.Send, forward *platform.Forward, state *sending) (scatter.Replied, *conn) {
+// run makes one attempt, unless the upstream has asked this host for none. It
+// returns the connection if it can be used again.
+func (s *sender) run(send scatter.Send, forward *platform.Forward, state *sending) (replied scatter.Replied, idle *conn) {
+	defer s.panics.caught("sender", forward.ID(), func() {
+		s.abandon(state) // its connection is in no known state
+		replied = scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Lost, Cause: "unexpected error"}
+		idle = nil
+	})
 	failed := func(outcome scatter.Outcome, err error) (scatter.Replied, *conn) {
 		return scatter.Replied{Attempt: send.Attempt, Outcome: outcome, Cause: err.Error()}, nil
 	}
+	withheld := func(notice scatter.Notice) (scatter.Replied, *conn) {
+		return scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Withheld, Notice: notice, Cause: "the upstream asked for no requests"}, nil
+	}
+	if notice := s.wishes.of(send.Target); notice.Forbids() {
+		return withheld(notice)
+	}
 	c, err := s.connect(send, state)
 	if err != nil {
 		return failed(scatter.Unreached, err)
@@ -131,13 +149,20 @@
 		_ = c.raw.Close()
 		return failed(scatter.Unreached, context.Canceled)
 	}
+	if notice := s.wishes.of(send.Target); notice.Forbids() {
+		// It asked while the connection was opened.
+		s.release(state)
+		_ = c.raw.Close()
+		return withheld(notice)
+	}
 	reply, sound, err := s.exchange(c, send, forward)
 	s.release(state)
 	if err != nil {
 		c.abort()
 		return failed(scatter.Lost, err)
 	}
-	replied := scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Payload: reply}
+	s.wishes.take(send.Target, reply.Notice)
+	replied = scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Payload: reply, Notice: reply.Notice}
 	if reply.Close || !sound {
 		c.abort()
 		return replied, nil
@@ -190,12 +215,12 @@
 		if err := forward.Write(c.writer, send.Target, left); err != nil {
 			return nil, false, err
 		}
-		reply, err = forward.ReadReply(c.reader)
+		reply, err = forward.ReadReply(c.reader, send.Top, s.memory)
 		return reply, true, err
 	}
 	written := make(chan error, 1)
 	go func() { written <- forward.Write(c.writer, send.Target, left) }()
-	reply, err = forward.ReadReply(c.reader)
+	reply, err = forward.ReadReply(c.reader, send.Top, s.memory)
 	select {
 	case writeErr := <-written:
 		// An upstream that did not run the request may not have read its body,
--- a/edge/service.go
+++ b/edge/service.go
@@ -29,6 +29,9 @@
 // newPeerServer makes the server for other hosts.
 func newPeerServer(h *Host) *grpc.Server {
 	server := grpc.NewServer(
+		grpc.UnaryInterceptor(h.panics.unary),
+		grpc.StreamInterceptor(h.panics.stream),
+		grpc.MaxHeaderListSize(peerHeaderBytes),
 		grpc.MaxRecvMsgSize(peerMessageBytes),
 		grpc.InitialWindowSize(peerWindow),
 		grpc.InitialConnWindowSize(peerWindow),
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,14 @@
 	Other
 	// ForgetIdle closes connections soon after an answer, without notice.
 	ForgetIdle
+	// The endless ones send without end until the caller closes: a status line,
+	// a header, interim answers, a body, a chunk's extension, a trailer.
+	EndlessStatus
+	EndlessHeader
+	EndlessInterim
+	EndlessBody
+	EndlessExtension
+	EndlessTrailer
 )
 
 // earlyPause is how much later an Early server reads the body, of which
@@ -72,6 +81,8 @@
 
 	mu      sync.Mutex
 	fault   Fault
+	headers string    // added to each answer
+	sent    int64     // bytes of endless answers
 	pause   time.Time // nothing runs before
 	waiting int
 	runs    map[string]int // by request id
@@ -106,6 +117,20 @@
 	s.fault = f
 }
 
+// SetHeaders adds header lines, each with its line end, to all answers.
+func (s *Server) SetHeaders(lines string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.headers = lines
+}
+
+// Sent returns how many bytes of endless answers callers took.
+func (s *Server) Sent() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
 // Pause lets nothing run for a while.
 func (s *Server) Pause(d time.Duration) {
 	s.mu.Lock()
@@ -215,7 +240,7 @@
 }
 
 func (s *Server) refuse(c net.Conn, r *http.Request, status int) bool {
-	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), r.Header.Get("Request-Id"))
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), r.Header.Get("Request-Id"), s.extra())
 	_, err := io.WriteString(c, answer)
 	return err == nil
 }
@@ -225,7 +250,7 @@
 	if fault == Fail {
 		status = "500 Internal Server Error"
 	}
-	head := "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + s.Stamp(id) + "\r\nX-Kept: yes\r\nConnection: keep-alive\r\n"
+	head := "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + s.Stamp(id) + "\r\nX-Kept: yes\r\nConnection: keep-alive\r\n" + s.extra()
 	framed := head + "Content-Length: " + strconv.Itoa(len(s.config.Body)) + "\r\n\r\n" + string(s.config.Body)
 	write := func(text string) bool {
 		_, err := io.WriteString(c, text)
@@ -247,7 +272,43 @@
 		return write(framed + framed)
 	case ForgetIdle:
 		return write(framed) && false
+	case EndlessStatus:
+		return s.sendOn(c, "HTTP/1.1 200 ", "OK")
+	case EndlessHeader:
+		return s.sendOn(c, head+"X-Long: ", "long ")
+	case EndlessInterim:
+		return s.sendOn(c, "", "HTTP/1.1 103 Early Hints\r\nX-Long: long\r\n\r\n")
+	case EndlessBody:
+		return s.sendOn(c, head+"Connection: close\r\n\r\n", string(s.config.Body))
+	case EndlessExtension:
+		return s.sendOn(c, head+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("x", 100)+"\r\ny\r\n")
+	case EndlessTrailer:
+		return s.sendOn(c, head+"Transfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0\r\n", "X-Long: long\r\n")
 	default:
 		return write(framed)
 	}
 }
+
+func (s *Server) extra() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headers
+}
+
+// sendOn sends a beginning and then the same again and again until the caller
+// closes the connection.
+func (s *Server) sendOn(c net.Conn, begin, again string) bool {
+	block := strings.Repeat(again, 1+blockSize/max(1, len(again)))
+	_, err := io.WriteString(c, begin)
+	for err == nil {
+		var n int
+		n, err = io.WriteString(c, block)
+		s.mu.Lock()
+		s.sent += int64(n)
+		s.mu.Unlock()
+	}
+	return false
+}
+
+// blockSize is about how much of an endless answer is written at once.
+const blockSize = 32 << 10
