--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -267,6 +267,7 @@
 	service := c.config.Services[p.service]
 	u, _ := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
+		within:      e.within(c.route),
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 	})
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -117,15 +117,16 @@
 func (e *Engine) reachableParts(c *call) int {
 	count := 0
 	for _, p := range c.parts {
-		if at, found := e.freeAt(p.service); found && at.Before(c.waitsUntil()) {
+		if at, found := e.freeAt(p); found && at.Before(c.waitsUntil()) {
 			count++
 		}
 	}
 	return count
 }
 
-func (e *Engine) mayTake(u *upstream) bool {
-	return !u.Draining && !u.leaving && !e.directory.out[u.Domain]
+// within returns which failure domains a route allows.
+func (e *Engine) within(r *Route) func(core.DomainID) bool {
+	return func(id core.DomainID) bool { return r.allows(e.options.Regions[id]) }
 }
 
 // waitsUntil is how long a part may wait for an upstream to take it. A request
@@ -179,6 +180,7 @@
 	service := c.config.Services[p.service]
 	u, busy := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
+		within:      e.within(c.route),
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 		patient:     c.route.IsGather(),
@@ -312,7 +314,7 @@
 	if !p.waiting {
 		return false
 	}
-	at, found := e.freeAt(p.service)
+	at, found := e.freeAt(p)
 	return !found || !at.Before(until)
 }
 
@@ -426,7 +428,7 @@
 func (e *Engine) retryAfter(now time.Time, c *call) time.Duration {
 	wait := time.Duration(retryShare * (0.5 + e.options.Random()) * float64(c.route.Target))
 	for _, p := range c.parts {
-		if at, found := e.freeAt(p.service); found {
+		if at, found := e.freeAt(p); found {
 			wait = max(wait, at.Sub(now))
 		}
 	}
--- a/core/scatter/config.go
+++ b/core/scatter/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +48,9 @@
 	Name   string
 	Host   string
 	Prefix string
+	// Regions are those whose upstreams may run the route's requests; empty
+	// allows all.
+	Regions []RegionID
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// Timeout is the longest that a request is kept waiting, Target the time
@@ -70,6 +74,14 @@
 	MinCoverage float64
 }
 
+// RegionID names a region, which consists of failure domains.
+type RegionID string
+
+// allows says whether upstreams of a region may run the route's requests.
+func (r *Route) allows(region RegionID) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Target is one service of a route and its share of the requests.
 type Target struct {
 	Service core.ServiceID
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -266,7 +266,9 @@
 // limits is what one pick has to keep to.
 type limits struct {
 	service Service
-	tried   []*upstream
+	// within says which failure domains the route allows.
+	within func(core.DomainID) bool
+	tried  []*upstream
 	// connections bounds the requests that this host may have at one upstream.
 	connections connectionShares
 	// waitsUntil is how long the request can wait for an upstream that wants
@@ -277,6 +279,11 @@
 	patient bool
 }
 
+// mayTake says whether an upstream may be sent new work.
+func (d *directory) mayTake(u *upstream) bool {
+	return !u.Draining && !u.leaving && !d.out[u.Domain]
+}
+
 // pick returns the upstream of a service with the least expected time for a
 // new request, or nil. Busy is true when an upstream could take it but is at
 // its limit.
@@ -288,7 +295,7 @@
 	bestCost := math.Inf(1)
 	soundFull, stalled := false, false
 	for _, u := range d.byService[l.service.ID] {
-		if u.Draining || u.leaving || d.out[u.Domain] || slices.Contains(l.tried, u) {
+		if !d.mayTake(u) || !l.within(u.Domain) || slices.Contains(l.tried, u) {
 			continue
 		}
 		if now.Before(u.withheldUntil) {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -13,7 +13,9 @@
 type Options struct {
 	Self   core.HostID
 	Domain core.DomainID
-	Extra  ExtraLimits
+	// Regions are the regions of the failure domains.
+	Regions map[core.DomainID]RegionID
+	Extra   ExtraLimits
 	// AnswerMargin is how long before a route's target an answer leaves, which
 	// covers the way from and to the caller.
 	AnswerMargin time.Duration
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -22,6 +22,8 @@
 	At time.Time
 	// Question identifies what is asked, whoever asks it.
 	Question core.Fingerprint
+	// HasBody says that the request has a body, which may be empty.
+	HasBody bool
 	// FromHost says that another host took the request and hands it over.
 	FromHost bool
 	// AllowStale lets this host answer from what it cannot confirm.
@@ -145,6 +147,10 @@
 
 var outcomeNames = [...]string{"succeeded", "failed", "not executed", "wrong instance", "unreached", "lost", "not relayed", "withheld"}
 
+// Known says that the outcome is one of those above; one from another host may
+// be none.
+func (o Outcome) Known() bool { return o >= 0 && int(o) < len(outcomeNames) }
+
 // String returns the outcome as the log prints it.
 func (o Outcome) String() string { return outcomeNames[o] }
 
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -146,7 +146,8 @@
 	bestCost := math.Inf(1)
 	for at, host := range e.fleet.able() {
 		p := e.fleet.peers[host.ID]
-		if p == nil || h.tried[p.ID] || now.Before(p.restsTo) || !h.stale && now.Before(p.declinesTo) {
+		far := p != nil && e.options.Regions[p.Domain] != e.options.Regions[e.fleet.domain]
+		if p == nil || far && h.arrived.HasBody || h.tried[p.ID] || now.Before(p.restsTo) || !h.stale && now.Before(p.declinesTo) {
 			continue
 		}
 		cost := float64(p.running)/max(p.Power, 0.01) + e.options.Random()
@@ -156,6 +157,9 @@
 		if at >= e.fleet.gatherers() {
 			cost += standbyHandover
 		}
+		if far {
+			cost += farHandover
+		}
 		if cost < bestCost {
 			best, bestCost = p, cost
 		}
@@ -163,6 +167,10 @@
 	return best
 }
 
+// farHandover is what another region costs. This host does not know the route's
+// regions, so no body leaves its own.
+const farHandover = 2000
+
 // standbyHandover is what a standby costs, in requests that wait: it is asked
 // only when the gatherers rest.
 const standbyHandover = 1000
--- a/core/scatter/merge.go
+++ b/core/scatter/merge.go
@@ -17,7 +17,11 @@
 // most top of them. Equal records all count; a remainder of a part that is
 // shorter than a record is ignored.
 func TopRecords(parts [][]byte, top int) []byte {
-	kept := make([]record, 0, top) // falling
+	size := 0
+	for _, part := range parts {
+		size += len(part) / RecordSize
+	}
+	kept := make([]record, 0, max(0, min(top, size))) // falling
 	for _, part := range parts {
 		for ; len(part) >= RecordSize; part = part[RecordSize:] {
 			r := record{binary.BigEndian.Uint64(part), binary.BigEndian.Uint64(part[8:])}
--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -112,11 +112,11 @@
 	e.timers.Add(end, func(now time.Time) { e.serveWaiting(now, u.Service) })
 }
 
-// freeAt returns when the first upstream of a service takes requests again,
-// as far as they said; false when all leave or are out.
-func (e *Engine) freeAt(id core.ServiceID) (at time.Time, found bool) {
-	for _, u := range e.directory.byService[id] {
-		if e.mayTake(u) && (!found || u.withheldUntil.Before(at)) {
+// freeAt returns when the first upstream that may run a part takes requests, as
+// far as they said; false when there is none.
+func (e *Engine) freeAt(p *part) (at time.Time, found bool) {
+	for _, u := range e.directory.byService[p.service] {
+		if e.directory.mayTake(u) && p.call.route.allows(e.options.Regions[u.Domain]) && (!found || u.withheldUntil.Before(at)) {
 			at, found = u.withheldUntil, true
 		}
 	}
--- /dev/null
+++ b/core/scatter/region_test.go
@@ -0,0 +1,71 @@
+package scatter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// regionRig is a rig whose domains d1 and d2 are regions of their own.
+func regionRig(t *testing.T, hosts ...scatter.Host) *rig {
+	r := newRig(t)
+	r.options.Regions = map[core.DomainID]scatter.RegionID{"d1": "north", "d2": "south"}
+	r.engine = scatter.New(r.options)
+	r.step(scatter.HostsSeen{Hosts: append(hosts, scatter.Host{ID: "host-1", Domain: "d1", Power: 1})})
+	return r
+}
+
+// TestRequestsStayInTheirRegions: neither load nor failures send a request to
+// an upstream that its route does not allow.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	r := regionRig(t)
+	r.configure(1, 2)
+	route := &scatter.Route{
+		Name: "fetch", Host: "h.example", Prefix: fetchPath, Repeatable: true, Timeout: 800 * ms, Target: 200 * ms,
+		MaxUpstreams: 2, Targets: []scatter.Target{{Service: "files", Weight: 1}}, Regions: []scatter.RegionID{"south"},
+	}
+	services := map[core.ServiceID]scatter.Service{"files": {ID: "files", Connections: 96}}
+	r.step(scatter.ConfigSeen{Config: scatter.NewConfig(2, []*scatter.Route{route}, services, scatter.CallerLimits{})})
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 20 * ms, scatter.Failed }
+	for range 20 {
+		r.ask(fetchPath)
+	}
+	r.run(time.Second)
+	if r.sentTo("files-b") == 0 || r.sentTo("files-a") > 0 {
+		t.Errorf("%d requests in the region, %d outside", r.sentTo("files-b"), r.sentTo("files-a"))
+	}
+	r.step(scatter.UpstreamRemoved{ID: "files-b"})
+	r.want(r.ask(fetchPath), scatter.Refused)
+}
+
+// TestBodiesStayInTheCallersRegion: a host that hands requests over does not
+// know their routes.
+func TestBodiesStayInTheCallersRegion(t *testing.T) {
+	r := regionRig(t, scatter.Host{ID: "near", Domain: "d1", Power: 8}, scatter.Host{ID: "far", Domain: "d2", Power: 8})
+	outcome := scatter.Succeeded
+	r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return 5 * ms, outcome }
+	for range 20 {
+		r.arrive(scatter.Arrived{Path: fetchPath, Budget: time.Second, HasBody: true})
+	}
+	r.run(time.Second)
+	outcome = scatter.Unreached
+	r.arrive(scatter.Arrived{Path: fetchPath, Budget: time.Second, HasBody: true})
+	r.run(time.Second)
+	for _, h := range r.handovers {
+		if h.To.ID != "near" {
+			t.Errorf("handed to %s", h.To.ID)
+		}
+	}
+	if len(r.handovers) < 20 {
+		t.Errorf("%d handovers", len(r.handovers))
+	}
+	outcome = scatter.Unreached
+	before := len(r.handovers)
+	r.arrive(scatter.Arrived{Path: fetchPath, Budget: time.Second})
+	r.run(time.Second)
+	if last := r.handovers[len(r.handovers)-1]; len(r.handovers) == before || last.To.ID != "far" {
+		t.Errorf("without a body, the last one asked is %s", last.To.ID)
+	}
+}
--- a/core/scatter/relay.go
+++ b/core/scatter/relay.go
@@ -45,9 +45,10 @@
 }
 
 // mayRelay says whether parts of a call may pass through other hosts: only
-// what may be repeated, since a relay can fail after it sent a part on.
+// what may be repeated, since a relay can fail after it sent a part on, and only
+// a head, since a body would cross the border once for each relay.
 func (e *Engine) mayRelay(c *call) bool {
-	return e.options.Relay && c.route.IsGather() && c.route.Repeatable
+	return e.options.Relay && c.route.IsGather() && c.route.Repeatable && !c.request.HasBody
 }
 
 // relayFor returns the host through which a call's parts reach a failure
--- a/edge/host.go
+++ b/edge/host.go
@@ -107,8 +107,9 @@
 
 func (h *Host) newCore() *scatter.Engine {
 	return scatter.New(scatter.Options{
-		Self:   h.place.Host,
-		Domain: h.place.Domain,
+		Self:    h.place.Host,
+		Domain:  h.place.Domain,
+		Regions: h.place.Regions,
 		Extra: scatter.ExtraLimits{
 			Ratio: h.place.RetryRatio, Allowance: h.place.RetryAllowance, Window: h.place.RetryWindow,
 		},
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -130,6 +131,8 @@
 	switch {
 	case err == nil && reply.Declined:
 		ended.Outcome, ended.Cause = scatter.NotExecuted, "declined"
+	case err == nil && (reply.Status < 200 || reply.Status > 599):
+		ended.Outcome, ended.Cause = scatter.Lost, fmt.Sprintf("status %d", reply.Status)
 	case err == nil:
 		ended.Outcome = scatter.Succeeded
 		ended.Took = time.Duration(reply.TookUs) * time.Microsecond
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -315,6 +315,9 @@
 		Took:    time.Duration(part.TookUs) * time.Microsecond,
 		Notice:  scatter.Notice{Leaving: part.Leaving},
 	}
+	if !replied.Outcome.Known() || replied.Outcome == scatter.Succeeded && part.Signature == "" {
+		replied.Outcome, replied.Cause = scatter.Lost, "the relay's answer makes no sense"
+	}
 	if replied.Outcome == scatter.Succeeded {
 		replied.Payload = platform.NewPart(part.Signature, part.Records)
 	}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -104,7 +104,7 @@
 				r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
 			})
 			replied := r.sender.relay(ctx, send, message.Forward)
-			part := encodePart(i, replied, time.Since(started), int(request.Top))
+			part := encodePart(i, replied, time.Since(started), send.Top)
 			r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
 		})
 	}
@@ -149,7 +149,7 @@
 			}
 		}
 		sends[i] = r.targets[target.Ref]
-		sends[i].Deadline, sends[i].Top = deadline, int(request.Top)
+		sends[i].Deadline, sends[i].Top = deadline, max(0, int(request.Top))
 	}
 	return sends
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -141,3 +141,19 @@
 		return nil
 	})
 }
+
+// TestRequestsWithABodyReachUpstreamsWhole: a relay is told the head only.
+func TestRequestsWithABodyReachUpstreamsWhole(t *testing.T) {
+	r, hosts := relayRig(t)
+	for i := range 10 {
+		id := fmt.Sprint("body-", i)
+		if answer := hosts[0].ask("POST", "/gather/x", id, "what is asked"); answer.status != 200 {
+			t.Fatalf("status %d", answer.status)
+		}
+		for name, server := range r.servers {
+			if runs, body := server.Runs(id); runs > 0 && body != "what is asked" {
+				t.Errorf("%s ran it with the body %q", name, body)
+			}
+		}
+	}
+}
