Relays return only records that can be in the answer

Cause: a relay returned the greatest top_k records of each part; of the parts of one relay only top_k records together can be in the answer.

Change: a relay keeps the greatest records of the request's parts so far and returns with each part those that enter; no part waits for another. The order of sending is the order of comparing, and a part that came through a relay replaces its twin from a hedge, so that what pruned others is in the answer. Property test over orders, losses, hedges and repeated parts against the merge of whole parts.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -40,6 +40,11 @@
 	}
 	switch {
 	case p.in:
+		if r.Outcome == Succeeded && a.via != nil {
+			// A relay leaves out of later parts what this one outdoes, so that it
+			// has to be in the answer and not its twin, which came by a hedge.
+			p.payload = r.Payload
+		}
 		return
 	case r.Outcome == Succeeded:
 		p.in, p.payload = true, r.Payload
--- a/core/scatter/merge.go
+++ b/core/scatter/merge.go
@@ -28,14 +28,44 @@
 			kept = insert(kept, r, top)
 		}
 	}
-	body := make([]byte, 0, len(kept)*RecordSize)
-	for _, r := range kept {
+	return appendRecords(kept)
+}
+
+func appendRecords(records []record) []byte {
+	body := make([]byte, 0, len(records)*RecordSize)
+	for _, r := range records {
 		body = binary.BigEndian.AppendUint64(body, r.high)
 		body = binary.BigEndian.AppendUint64(body, r.low)
 	}
 	return body
 }
 
+// TopKeeper keeps the greatest records of the parts that went one way, so that of
+// each part only the records go on that can be in an answer with all parts
+// before it.
+type TopKeeper struct {
+	top  int
+	kept []record // falling
+}
+
+// NewTopKeeper returns a keeper of top records.
+func NewTopKeeper(top int) *TopKeeper { return &TopKeeper{top: top} }
+
+// Enter returns the records of a part that are among the greatest of all parts
+// so far, greatest first.
+func (k *TopKeeper) Enter(part []byte) []byte {
+	entered := make([]record, 0, min(max(0, k.top), len(part)/RecordSize))
+	for ; len(part) >= RecordSize; part = part[RecordSize:] {
+		r := record{binary.BigEndian.Uint64(part), binary.BigEndian.Uint64(part[8:])}
+		if len(k.kept) >= k.top && (k.top <= 0 || !k.kept[len(k.kept)-1].less(r)) {
+			continue
+		}
+		k.kept = insert(k.kept, r, k.top)
+		entered = insert(entered, r, k.top)
+	}
+	return appendRecords(entered)
+}
+
 // insert puts a record into its place among the top ones.
 func insert(kept []record, r record, top int) []record {
 	if len(kept) >= top {
--- a/core/scatter/relay_test.go
+++ b/core/scatter/relay_test.go
@@ -1,10 +1,14 @@
 package scatter_test
 
 import (
+	"bytes"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 )
@@ -181,3 +185,70 @@
 		t.Error("a part that takes twice what upstreams take is not hedged")
 	}
 }
+
+// TestPrunedPartsMergeAsWholeOnes puts the parts of a gather through relays that
+// leave out what cannot be in the answer, in any order, with parts that are lost
+// on the way and parts that a hedge brought as well: the answer is that of the
+// whole parts whose signatures it bears.
+func TestPrunedPartsMergeAsWholeOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		top := rapid.IntRange(0, 6).Draw(t, "top")
+		shards := rapid.IntRange(1, 8).Draw(t, "shards")
+		record := rapid.SliceOfN(rapid.ByteRange(0, 3), scatter.RecordSize, scatter.RecordSize)
+		body := func(name string) []byte {
+			return slices.Concat(rapid.SliceOfN(record, 0, 8).Draw(t, name)...)
+		}
+		keepers := []*scatter.TopKeeper{scatter.NewTopKeeper(top), scatter.NewTopKeeper(top)}
+		whole, used := make([][]byte, shards), make([][]byte, shards)
+		for _, shard := range rapid.Permutation(indices(shards)).Draw(t, "order") {
+			if hedged := rapid.Bool().Draw(t, "hedged first"); hedged {
+				whole[shard] = body("twin")
+				used[shard] = whole[shard]
+			}
+			if lost := rapid.Bool().Draw(t, "lost"); lost {
+				continue
+			}
+			// A part of a relay replaces its twin: see Engine.replied.
+			whole[shard] = body("part")
+			used[shard] = keepers[rapid.IntRange(0, 1).Draw(t, "relay")].Enter(whole[shard])
+		}
+		if got, want := scatter.TopRecords(used, top), scatter.TopRecords(whole, top); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+func indices(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// TestPartOfARelayReplacesItsTwin: a hedge was answered first, then the relay
+// returned the part that it compared others with.
+func TestPartOfARelayReplacesItsTwin(t *testing.T) {
+	r := newRelayRig(t)
+	r.relayed = func(s scatter.Send) (time.Duration, scatter.Replied) {
+		if s.Target.Service == "shard00" {
+			return 60 * ms, scatter.Replied{}
+		}
+		return 5 * ms, scatter.Replied{}
+	}
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.Service == "shard07" {
+			return 85 * ms, scatter.Succeeded // keeps the answer open
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	call := r.ask(gatherPath)
+	r.step(scatter.UpstreamSeen{Upstream: pair("shard00")[0]})
+	r.run(200 * ms)
+	if r.sentTo("shard00-a") == 0 {
+		t.Fatal("nothing was hedged")
+	}
+	if answer := r.want(call, scatter.Gathered); !slices.Contains(answer.Parts, any("shard00-b")) {
+		t.Errorf("the answer is made of %v", answer.Parts)
+	}
+}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -96,6 +96,7 @@
 		Method: request.Method, Host: request.Host, Target: request.Target, Header: decodeHeaders(request.Headers),
 	})
 	var parts sync.WaitGroup
+	order := &partOrder{keeper: scatter.NewTopKeeper(max(0, int(request.Top)))}
 	for i, send := range sends {
 		parts.Go(func() {
 			started := time.Now()
@@ -104,7 +105,10 @@
 				r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
 			})
 			replied := r.sender.relay(ctx, send, message.Forward)
-			part := encodePart(i, replied, time.Since(started), send.Top)
+			took := time.Since(started)
+			order.Lock()
+			defer order.Unlock()
+			part := encodePart(i, replied, took, order.keeper)
 			r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
 		})
 	}
@@ -160,12 +164,19 @@
 	_ = r.stream.Send(reply) // a stream that broke ends by its reader
 }
 
-func encodePart(index int, replied scatter.Replied, took time.Duration, top int) *edgepb.RelayedPart {
+// partOrder has the parts of one request sent in the order in which their records
+// were compared: the host that gathers leaves out none that came before.
+type partOrder struct {
+	sync.Mutex
+	keeper *scatter.TopKeeper
+}
+
+func encodePart(index int, replied scatter.Replied, took time.Duration, keeper *scatter.TopKeeper) *edgepb.RelayedPart {
 	part := &edgepb.RelayedPart{
 		Index: int32(index), Outcome: int32(replied.Outcome), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
 	}
 	if reply, whole := replied.Payload.(*platform.Reply); whole && replied.Outcome == scatter.Succeeded {
-		part.Signature, part.Records = reply.Part(top)
+		part.Signature, part.Records = reply.Part(keeper)
 	}
 	// A wish to be left alone concerns this host only: the other one may send
 	// the part by itself.
