--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -11,6 +11,8 @@
 	Sends     []Send
 	Cancels   []Cancel
 	Handovers []Handover
+	// Probes are the hosts to ask whether they are there.
+	Probes []Host
 	// CallsGone are the calls whose handover is to end.
 	CallsGone []core.CallID
 	Answers   []Answer
@@ -24,7 +26,7 @@
 	clear(a.Answers)
 	clear(a.Notes)
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
-	a.Handovers, a.CallsGone = a.Handovers[:0], a.CallsGone[:0]
+	a.Handovers, a.Probes, a.CallsGone = a.Handovers[:0], a.Probes[:0], a.CallsGone[:0]
 }
 
 // Send asks one upstream to run a call's request.
@@ -62,6 +64,8 @@
 	Spent    time.Duration
 	// AllowStale lets the host answer from what it cannot confirm.
 	AllowStale bool
+	// Repeat says that another host may have run the request.
+	Repeat bool
 }
 
 // Answer is the final answer to a call.
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -179,7 +179,11 @@
 	if !c.route.Repeatable && p.executed {
 		return false
 	}
-	if p.ran() >= c.route.MaxUpstreams || p.sends >= maxAttempts || !now.Before(c.deadline) {
+	most := c.route.MaxUpstreams
+	if c.request.Repeat {
+		most-- // at the host that had it first
+	}
+	if p.ran() >= max(1, most) || p.sends >= maxAttempts || !now.Before(c.deadline) {
 		return false
 	}
 	return true
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -40,9 +40,15 @@
 		e.note(Note{Decision: DecisionAnswer, RequestID: a.RequestID, Version: e.Version(), Detail: NoRoute.String()})
 		return
 	}
+	if a.Repeat && !route.Repeatable {
+		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
+		return
+	}
 	c := e.newCall(a, route)
-	for _, p := range c.parts {
-		e.budget(p.service).requests.add(now)
+	if !a.Repeat { // the host that had it first counted it
+		for _, p := range c.parts {
+			e.budget(p.service).requests.add(now)
+		}
 	}
 	if e.questions.quarantined(now, a.Question) {
 		e.note(Note{Decision: DecisionPoison, RequestID: a.RequestID, Route: route.Name, Version: c.config.Version})
@@ -174,7 +180,7 @@
 // one could take it soon, and is over if there is none.
 func (e *Engine) send(now time.Time, p *part) {
 	c := p.call
-	if p.arrivals() > 0 && !e.affords(now, p) {
+	if p.isExtra() && !e.affords(now, p) {
 		p.over = p.pending == 0
 		return
 	}
@@ -201,7 +207,7 @@
 func (e *Engine) start(now time.Time, p *part, u *upstream, service Service) {
 	c := p.call
 	e.sequence++
-	a := &attempt{id: e.sequence, part: p, to: u, sentAt: now, extra: p.arrivals() > 0}
+	a := &attempt{id: e.sequence, part: p, to: u, sentAt: now, extra: p.isExtra()}
 	usual := e.usualOf(c.route, p.service).estimate
 	a.overdueAt = now.Add(max(minStall, stallFactor*usual))
 	if a.extra {
@@ -239,6 +245,9 @@
 	e.out.Sends = append(e.out.Sends, send)
 }
 
+// isExtra says that an upstream of the service may have got the part already.
+func (p *part) isExtra() bool { return p.arrivals() > 0 || p.call.request.Repeat }
+
 // arrivals counts the attempts that reached an upstream or may reach one.
 func (p *part) arrivals() int { return len(p.attempts) }
 
@@ -378,13 +387,21 @@
 // refuse ends a call of which nothing has run.
 func (e *Engine) refuse(now time.Time, c *call, why string) {
 	e.stats.Refused++
-	e.finish(now, c, Answer{Call: c.id, Kind: Refused, RetryAfter: e.retryAfter(now, c)}, why)
+	kind := Refused
+	if c.request.Repeat {
+		kind = Declined // it may have run at another host
+	}
+	e.finish(now, c, Answer{Call: c.id, Kind: kind, RetryAfter: e.retryAfter(now, c)}, why)
 }
 
 // refuseUnrouted refuses a request before its route is known.
 func (e *Engine) refuseUnrouted(a Arrived, why string) {
 	e.stats.Refused++
-	e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Refused, RetryAfter: unroutedRetry})
+	kind := Refused
+	if a.Repeat {
+		kind = Declined
+	}
+	e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: kind, RetryAfter: unroutedRetry})
 	e.note(Note{Decision: DecisionRefuse, RequestID: a.RequestID, Detail: why})
 }
 
@@ -416,7 +433,7 @@
 	e.leave(now, c)
 	e.out.Answers = append(e.out.Answers, answer)
 	decision := DecisionAnswer
-	if answer.Kind == Refused {
+	if answer.Kind == Refused || answer.Kind == Declined {
 		decision = DecisionRefuse
 	}
 	detail := answer.Kind.String()
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -228,6 +228,8 @@
 		e.setHosts(event.Hosts)
 	case HandoverEnded:
 		e.handedOver(now, event)
+	case HostHeard:
+		e.heardFrom(now, event.ID)
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.graceTimer(now)
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -28,6 +28,9 @@
 	FromHost bool
 	// AllowStale lets this host answer from what it cannot confirm.
 	AllowStale bool
+	// Repeat says that another host may have run the request: it is declined
+	// unless its route allows that, and all its sends are extra ones.
+	Repeat bool
 }
 
 // CallerGone says that the caller closed its connection.
@@ -81,6 +84,9 @@
 	Cause string
 }
 
+// HostHeard says that another host answered a probe.
+type HostHeard struct{ ID core.HostID }
+
 // StoreReachable says whether the registry of upstreams answers this host.
 type StoreReachable struct{ Reachable bool }
 
@@ -98,6 +104,7 @@
 func (HostsSeen) isEvent()       {}
 func (HandoverEnded) isEvent()   {}
 func (StoreReachable) isEvent()  {}
+func (HostHeard) isEvent()       {}
 func (Tick) isEvent()            {}
 
 // Upstream is the registry's entry of one upstream.
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
@@ -41,12 +42,22 @@
 	// overhead estimates the time of a handover apart from the host's own
 	// work: the way there and back, and what this host does for it.
 	overhead time.Duration
-	relay    relayLoad
+	// took is about how long the host takes for a request, with the way there
+	// and back.
+	took  time.Duration
+	relay relayLoad
 }
 
 const (
 	// firstOverhead is the estimate before the first observation.
 	firstOverhead = 6 * time.Millisecond
+	// firstTook is the estimate of a host's time before the first observation,
+	// tookGain the weight of each.
+	firstTook = 100 * time.Millisecond
+	tookGain  = 0.1
+	// probeFactor times the usual time without an answer, a host is asked
+	// whether it is there.
+	probeFactor = 2
 	// overheadRise and overheadFall are the steps of the estimate, which settle
 	// where one of ten handovers takes longer.
 	overheadRise = 0.18
@@ -65,11 +76,20 @@
 // handover is a request that another host answers.
 type handover struct {
 	arrived  Arrived
-	to       *peer
-	sentAt   time.Time
+	runs     []*handoverRun // at hosts that have not ended it
 	tried    map[core.HostID]bool
 	deadline time.Time
 	stale    bool
+	// repeated says that a second host was asked to run what the first may have
+	// run.
+	repeated bool
+}
+
+// handoverRun is a handover at one host.
+type handoverRun struct {
+	to     *peer
+	sentAt time.Time
+	repeat bool
 }
 
 // handsOver says whether this host lets others answer its callers' requests.
@@ -86,6 +106,7 @@
 	if budget <= 0 {
 		budget = unknownBudget
 	}
+	budget = max(budget/2, budget-e.options.AnswerMargin) // the answer has a way to go
 	h := &handover{arrived: a, tried: map[core.HostID]bool{}, deadline: a.At.Add(budget)}
 	e.handovers[a.Call] = h
 	e.timers.Add(h.deadline, func(now time.Time) {
@@ -108,12 +129,70 @@
 		e.answerAlone(now, h)
 		return
 	}
-	h.to, h.sentAt = p, now
+	e.runAt(now, h, p, false)
+}
+
+// runAt gives a request to a host. A repeat is run there only if the route allows
+// it, which this host does not know.
+func (e *Engine) runAt(now time.Time, h *handover, p *peer, repeat bool) {
+	run := &handoverRun{to: p, sentAt: now, repeat: repeat}
+	h.runs = append(h.runs, run)
 	h.tried[p.ID] = true
 	p.running++
 	e.out.Handovers = append(e.out.Handovers, Handover{
-		Call: h.arrived.Call, To: p.Host, Deadline: h.deadline, Spent: now.Sub(h.arrived.At) + p.overhead, AllowStale: h.stale,
+		Call: h.arrived.Call, To: p.Host, Deadline: h.deadline, Spent: now.Sub(h.arrived.At) + p.overhead,
+		AllowStale: h.stale, Repeat: repeat,
+	})
+	if !repeat {
+		e.timers.Add(now.Add(probeFactor*p.took), func(now time.Time) { e.probe(now, h, run) })
+	}
+}
+
+// probe asks a host whether it is there that has had a request for longer than
+// usual. If it does not say so, another host is asked to run the request.
+//
+// It answers hosts that freeze or are cut off: what they hold is silent, but so
+// is a request that takes long.
+func (e *Engine) probe(now time.Time, h *handover, run *handoverRun) {
+	if !h.runsAt(run) || h.repeated {
+		return
+	}
+	p := run.to
+	e.out.Probes = append(e.out.Probes, p.Host)
+	e.timers.Add(now.Add(p.took), func(later time.Time) {
+		if h.runsAt(run) && p.heardAt.Before(now) {
+			e.rest(later, p, HandoverEnded{Outcome: Lost, Cause: "silent"})
+			e.repeatHandover(later, h)
+		}
+	})
+}
+
+func (h *handover) runsAt(run *handoverRun) bool { return slices.Contains(h.runs, run) }
+
+// repeatHandover asks another host to run what one may have run already; false
+// means that there is none.
+func (e *Engine) repeatHandover(now time.Time, h *handover) bool {
+	if h.repeated {
+		return false
+	}
+	p := e.pickPeer(now, h)
+	if p == nil {
+		return false
+	}
+	h.repeated = true
+	e.stats.Retries++
+	e.note(Note{
+		Decision: DecisionRetry, RequestID: h.arrived.RequestID, Upstream: core.UpstreamID(p.ID), Age: now.Sub(h.arrived.At), Detail: "at another host",
 	})
+	e.runAt(now, h, p, true)
+	return true
+}
+
+// heardFrom notes that a host answered a probe.
+func (e *Engine) heardFrom(now time.Time, id core.HostID) {
+	if p := e.fleet.peers[id]; p != nil {
+		p.heardAt = now
+	}
 }
 
 // answerAlone answers a request that no other host takes. A host that does not
@@ -175,34 +254,51 @@
 // only when the gatherers rest.
 const standbyHandover = 1000
 
-// handedOver takes the end of a handover.
+// handedOver takes the end of a handover at a host.
 func (e *Engine) handedOver(now time.Time, r HandoverEnded) {
 	h := e.handovers[r.Call]
-	if h == nil || h.to == nil || h.to.ID != r.To {
+	if h == nil {
 		return
 	}
-	p := h.to
+	at := slices.IndexFunc(h.runs, func(run *handoverRun) bool { return run.to.ID == r.To })
+	if at < 0 {
+		return
+	}
+	run := h.runs[at]
+	h.runs = slices.Delete(h.runs, at, at+1)
+	p := run.to
 	p.running--
-	h.to = nil
-	switch r.Outcome {
-	case Succeeded, Failed:
+	switch {
+	case r.Outcome == Succeeded || r.Outcome == Failed:
 		p.suspects, p.declines, p.heardAt = 0, 0, now
-		p.observeOverhead(now.Sub(h.arrived.At) - r.Took)
+		if !h.repeated {
+			p.observeOverhead(now.Sub(h.arrived.At) - r.Took)
+		}
+		p.took += time.Duration(tookGain * float64(now.Sub(run.sentAt)-p.took))
 		e.endHandover(now, h, Answer{Kind: PassedOn, Payload: r.Payload})
-	case NotExecuted:
+		return
+	case r.Outcome != NotExecuted:
+		e.rest(now, p, r)
+	case !run.repeat:
 		p.declinesTo = now.Add(min(suspectMost, suspectFirst<<min(p.declines, 8)))
 		p.declines++
 		e.note(Note{Decision: DecisionPeer, Upstream: core.UpstreamID(p.ID), Detail: r.Cause})
+	}
+	switch {
+	case !run.repeat && r.Outcome.SurelyNotRun():
 		e.tryHandover(now, h)
-	case Lost:
-		e.rest(now, p, r)
-		e.endHandover(now, h, Answer{Kind: UpstreamsFailed})
+	case run.repeat && r.Outcome == Unreached && e.retryRepeat(now, h), e.repeatHandover(now, h), len(h.runs) > 0:
 	default:
-		e.rest(now, p, r)
-		e.tryHandover(now, h)
+		e.endHandover(now, h, Answer{Kind: UpstreamsFailed})
 	}
 }
 
+// retryRepeat asks one more host in the place of one that was not reached.
+func (e *Engine) retryRepeat(now time.Time, h *handover) bool {
+	h.repeated = false
+	return e.repeatHandover(now, h)
+}
+
 // rest keeps requests away from a host for a while.
 func (e *Engine) rest(now time.Time, p *peer, r HandoverEnded) {
 	wait := min(suspectMost, suspectFirst<<min(p.suspects, 8))
@@ -213,22 +309,16 @@
 
 // suspectSilent makes a host rest that let a request run into its deadline.
 func (e *Engine) suspectSilent(now time.Time, h *handover) {
-	p := h.to
-	if p == nil {
-		return
-	}
-	if now.Sub(h.sentAt) >= silentAfter && p.heardAt.Before(h.sentAt) {
-		e.rest(now, p, HandoverEnded{Outcome: Lost, Cause: "silent"})
+	for _, run := range h.runs {
+		if now.Sub(run.sentAt) >= silentAfter && run.to.heardAt.Before(run.sentAt) && !now.Before(run.to.restsTo) {
+			e.rest(now, run.to, HandoverEnded{Outcome: Lost, Cause: "silent"})
+		}
 	}
 }
 
 func (e *Engine) endHandover(now time.Time, h *handover, answer Answer) {
 	answer.Call = h.arrived.Call
-	delete(e.handovers, answer.Call)
-	if h.to != nil {
-		h.to.running--
-		e.out.CallsGone = append(e.out.CallsGone, answer.Call)
-	}
+	e.dropHandover(h)
 	e.out.Answers = append(e.out.Answers, answer)
 	e.note(Note{
 		Decision: DecisionAnswer, RequestID: h.arrived.RequestID, Age: now.Sub(h.arrived.At),
@@ -236,11 +326,14 @@
 	})
 }
 
-// dropHandover ends a handover whose caller left.
+// dropHandover forgets a handover and ends it at the hosts that still have it.
 func (e *Engine) dropHandover(h *handover) {
 	delete(e.handovers, h.arrived.Call)
-	if h.to != nil {
-		h.to.running--
+	for _, run := range h.runs {
+		run.to.running--
+	}
+	if len(h.runs) > 0 {
 		e.out.CallsGone = append(e.out.CallsGone, h.arrived.Call)
 	}
+	h.runs = nil
 }
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -121,7 +121,7 @@
 		}
 		p := f.peers[h.ID]
 		if p == nil || p.Address != h.Address {
-			p = &peer{overhead: firstOverhead}
+			p = &peer{overhead: firstOverhead, took: firstTook}
 		}
 		p.Host = h
 		peers[h.ID] = p
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -28,6 +28,8 @@
 	relayed func(s scatter.Send) (after time.Duration, replied scatter.Replied)
 	// notice is what an upstream says of itself beside its answer.
 	notice func(s scatter.Send) scatter.Notice
+	// probed is told of probes; nil leaves them without an answer.
+	probed func(core.HostID)
 	// peer says how a host answers a handover.
 	peer func(h scatter.Handover) (after time.Duration, outcome scatter.Outcome)
 
@@ -92,6 +94,11 @@
 		replied.Attempt, replied.Payload = s.Attempt, string(s.Target.ID)
 		r.later.Add(r.now.Add(after), func() { r.step(replied) })
 	}
+	for _, h := range out.Probes {
+		if r.probed != nil {
+			r.probed(h.ID)
+		}
+	}
 	for _, h := range out.Handovers {
 		r.handovers = append(r.handovers, h)
 		after, outcome := r.peer(h)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -390,3 +390,62 @@
 		})
 	}
 }
+
+// TestRequestAtAHostThatIsGoneRunsElsewhere: a host that hands requests over
+// loses the one that has them. What may run again is answered by another host,
+// what may not is answered 502 and runs once.
+func TestRequestAtAHostThatIsGoneRunsElsewhere(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	for _, id := range []string{"f1", "f2", "f3"} {
+		r.server("files", id, serverstub.Config{Body: []byte("file"), Work: 300 * time.Millisecond})
+	}
+	r.server("orders", "o1", serverstub.Config{Body: []byte("order taken"), Work: 300 * time.Millisecond})
+	r.configure("files")
+	strong := []*running{r.host("strong-1", 1), r.host("strong-2", 1)}
+	for i := range 6 {
+		r.host(fmt.Sprint("stands-by-", i), 0.1)
+	}
+	weak := r.host("weak", 0.1)
+	eventually(t, func() (err error) {
+		weak.decision.ask(func(e *scatter.Engine) {
+			if e.Role() == scatter.Gatherer || len(e.Ranked()) < 9 {
+				err = fmt.Errorf("the host is a %v of %d", e.Role(), len(e.Ranked()))
+			}
+		})
+		return err
+	})
+	holder := func() (found *running) {
+		eventually(t, func() error {
+			for _, h := range strong {
+				h.decision.ask(func(e *scatter.Engine) {
+					if e.Running() > 0 {
+						found = h
+					}
+				})
+			}
+			if found == nil {
+				return errors.New("no host has the request")
+			}
+			return nil
+		})
+		return found
+	}
+	for _, tt := range []struct {
+		path         string
+		status, runs int
+	}{{"/fetch/x", http.StatusOK, 2}, {"/order/x", http.StatusBadGateway, 1}} {
+		got := make(chan reply, 1)
+		go func() { got <- weak.ask("GET", tt.path, tt.path, "") }()
+		holder().server.Stop() // breaks its connections to other hosts
+		answer := <-got
+		runs := 0
+		for _, s := range r.servers {
+			n, _ := s.Runs(tt.path)
+			runs += n
+		}
+		if answer.status != tt.status || runs != tt.runs {
+			t.Errorf("%s: got %d after %d runs, want %d after %d", tt.path, answer.status, runs, tt.status, tt.runs)
+		}
+	}
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -34,8 +34,8 @@
 	request platform.CallerRequest
 	ctx     context.Context     // ends when the caller leaves
 	answer  chan scatter.Answer // holds the answer
-	// endHandover ends the call at the host that it was handed to.
-	endHandover context.CancelFunc
+	// endHandovers end the call at the hosts that it was handed to.
+	endHandovers []context.CancelFunc
 }
 
 // front takes requests from callers.
--- a/edge/host.go
+++ b/edge/host.go
@@ -32,6 +32,8 @@
 	lingerShare = 0.65
 	// finishShare of the time until the kill, everything ends.
 	finishShare = 0.93
+	// pingTimeout ends a ping, long after its answer mattered.
+	pingTimeout = time.Second
 	// bodyShare of the process's memory is for the large bodies of all requests
 	// and answers under way. The heap limit leaves room for it twice.
 	bodyShare = 0.25
@@ -200,10 +202,15 @@
 		h.handOver(handover)
 	}
 	for _, call := range actions.CallsGone {
-		if p := h.front.find(call); p != nil && p.endHandover != nil {
-			p.endHandover()
+		if p := h.front.find(call); p != nil {
+			for _, end := range p.endHandovers {
+				end()
+			}
 		}
 	}
+	for _, host := range actions.Probes {
+		h.probe(host)
+	}
 	for _, answer := range actions.Answers {
 		h.front.answer(answer)
 	}
@@ -245,7 +252,7 @@
 		return // the caller left; the core learns of it by a later event
 	}
 	ctx, cancel := context.WithDeadline(p.ctx, handover.Deadline)
-	p.endHandover = cancel
+	p.endHandovers = append(p.endHandovers, cancel)
 	go func() {
 		defer cancel()
 		ended := scatter.HandoverEnded{Call: handover.Call, To: handover.To.ID, Outcome: scatter.Lost, Cause: "unexpected error"}
@@ -259,6 +266,20 @@
 	}()
 }
 
+// probe asks a host whether it is there. No answer is told by nothing.
+func (h *Host) probe(host scatter.Host) {
+	go func() {
+		defer h.panics.caught("probe", "", nil)
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		defer cancel()
+		if err := h.peers.ping(ctx, host.Address); err != nil {
+			h.log.Debug().Str("event", "host_silent").Str("peer", string(host.ID)).AnErr("cause", err).Msg("no answer to a ping")
+			return
+		}
+		h.report(scatter.HostHeard{ID: host.ID})
+	}()
+}
+
 // followCore passes on what the core's beliefs mean for the other duties.
 func (h *Host) followCore(now time.Time) {
 	c := h.decision.core
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -145,6 +145,16 @@
 	return ended
 }
 
+// ping asks a host whether it is there.
+func (p *peers) ping(ctx context.Context, address string) error {
+	client, err := p.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.Ping(ctx, &edgepb.PingRequest{})
+	return eris.Wrap(err, "ping")
+}
+
 func encodeRun(h scatter.Handover, request platform.CallerRequest) *edgepb.RunRequest {
 	m := request.Message
 	return &edgepb.RunRequest{
@@ -156,6 +166,7 @@
 		Framed:     m.Framed,
 		SpentUs:    h.Spent.Microseconds(),
 		AllowStale: h.AllowStale,
+		Repeat:     h.Repeat,
 	}
 }
 
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -238,6 +238,10 @@
 		l.end(call, scatter.Replied{Outcome: scatter.NotRelayed, RelayFault: true, Cause: "declined"})
 		return
 	}
+	if reply.Part == nil {
+		l.end(call, scatter.Replied{Outcome: scatter.Lost, RelayFault: true, Cause: "the relay's answer makes no sense"})
+		return
+	}
 	if replied, first := l.collect(call, reply.Part); first {
 		l.report(replied)
 	}
--- a/edge/service.go
+++ b/edge/service.go
@@ -125,6 +125,15 @@
 	return update, nil
 }
 
+// Ping implements edgepb.EdgeServer. It passes through the decision duty, so that
+// a host whose decisions stand still is silent.
+func (s *service) Ping(context.Context, *edgepb.PingRequest) (*edgepb.PingReply, error) {
+	if !s.host.decision.ask(func(*scatter.Engine) {}) {
+		return nil, status.Error(codes.Unavailable, "this host stops")
+	}
+	return &edgepb.PingReply{}, nil
+}
+
 // Run implements edgepb.EdgeServer.
 func (s *service) Run(ctx context.Context, r *edgepb.RunRequest) (*edgepb.RunReply, error) {
 	declined := &edgepb.RunReply{Declined: true}
@@ -134,7 +143,7 @@
 	request := decodeRun(r)
 	started := time.Now()
 	arrived := started.Add(-time.Duration(r.SpentUs) * time.Microsecond)
-	answer, left := s.host.front.ask(ctx, request, scatter.Arrived{At: arrived, FromHost: true, AllowStale: r.AllowStale})
+	answer, left := s.host.front.ask(ctx, request, scatter.Arrived{At: arrived, FromHost: true, AllowStale: r.AllowStale, Repeat: r.Repeat})
 	switch {
 	case left:
 		return nil, status.FromContextError(ctx.Err()).Err()
