--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -9,7 +9,7 @@
 const (
 	// maxNotices bounds the upstreams of which a notice is remembered.
 	maxNotices = 8192
-	// maxRetryAfter bounds how long an upstream may ask to be left alone.
+	// maxRetryAfter bounds how long an upstream may ask a host to back off.
 	maxRetryAfter = 5 * time.Minute
 )
 
@@ -17,8 +17,8 @@
 type Notice struct {
 	// Leaving says that the upstream is about to stop.
 	Leaving bool
-	// RetryAfter is for how long the upstream wants nothing from the host that
-	// it turned away; 0 is no wish.
+	// RetryAfter is for how long the upstream asks the host that it turned away
+	// to back off; 0 asks nothing.
 	RetryAfter time.Duration
 }
 
@@ -83,8 +83,8 @@
 	delete(n.byStart, oldest)
 }
 
-// Of returns what is known of an upstream: whether it leaves, and for how much
-// longer it wants nothing.
+// Of returns what is known of an upstream: whether it leaves, and how much longer
+// to back off.
 func (n *Notices) Of(now time.Time, u Upstream) Notice {
 	known := n.byStart[startOf(u)]
 	return Notice{Leaving: known.leaving, RetryAfter: max(0, known.until.Sub(now))}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -142,37 +142,6 @@
 	}
 }
 
-// prime reads everything once, if this host has to know it, so that it can serve
-// before its streams are up.
-func (r *registry) prime(ctx context.Context) {
-	defer func() { r.lastFollow.Store(int64(time.Since(r.started))) }()
-	pause(ctx, coreSettles)
-	if !r.current.Load().active {
-		return
-	}
-	var lists sync.WaitGroup
-	for _, hub := range r.hubs {
-		if hub == r.hosts {
-			continue
-		}
-		lists.Go(func() {
-			attempt, cancel := context.WithTimeout(ctx, listTimeout)
-			defer cancel()
-			defer r.panics.caught("registry", "", nil)
-			update, err := hub.feed.List(attempt)
-			if err != nil {
-				r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("feed", hub.feed.Name).AnErr("cause", err).Msg("the streams have to bring it")
-				return
-			}
-			hub.apply(update)
-		})
-	}
-	lists.Wait()
-}
-
-// coreSettles is how long the core gets to learn its role from the hosts.
-const coreSettles = 5 * time.Millisecond
-
 // register stores this host's record.
 func (r *registry) register(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -187,98 +156,6 @@
 	}
 }
 
-// learnHosts reads the hosts once, from a seed or, if none answers soon, from
-// the store.
-func (r *registry) learnHosts(ctx context.Context) {
-	defer r.panics.caught("registry", "", nil)
-	if r.askSeeds(ctx) {
-		return
-	}
-	attempt, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	update, err := r.hosts.feed.List(attempt)
-	if err != nil {
-		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").AnErr("cause", err).Msg("no host is known")
-		return
-	}
-	r.hosts.apply(update)
-}
-
-// askSeeds asks all seeds at once, and returns whether one of them knew the
-// hosts.
-func (r *registry) askSeeds(ctx context.Context) bool {
-	answers := make(chan error, len(r.seeds))
-	asked := 0
-	for _, seed := range r.seeds {
-		if seed == r.self.Address {
-			return false // a seed asks the store, for the others
-		}
-		asked++
-		go func() {
-			defer r.panics.caught("registry", "", func() { answers <- errUnexpected })
-			answers <- r.snapshot(ctx, seed, platform.HostFeedName)
-		}()
-	}
-	patience := time.After(seedTimeout)
-	for range asked {
-		select {
-		case err := <-answers:
-			if err == nil {
-				return true
-			}
-		case <-patience:
-			return false
-		}
-	}
-	return false
-}
-
-// snapshot reads a feed from another host.
-func (r *registry) snapshot(ctx context.Context, address, feed string) error {
-	client, err := r.peers.client(address)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	message, err := client.Snapshot(ctx, &edgepb.SnapshotRequest{Feed: feed})
-	if err != nil {
-		return eris.Wrap(err, "snapshot")
-	}
-	return r.take(message)
-}
-
-// askHosts reads what this host does not know from hosts that follow or read
-// the store, while neither the store nor a stream brings it. What they know may
-// be old: it has no source, so this host counts as cut off from the store.
-func (r *registry) askHosts(ctx context.Context) {
-	defer r.panics.caught("registry", "", nil)
-	ranked := r.current.Load().ranked
-	for _, hub := range r.hubs {
-		for _, h := range ranked[:min(len(ranked), askedHosts)] {
-			if hub.isKnown() {
-				break
-			}
-			if h.ID == r.self.ID {
-				continue
-			}
-			if err := r.snapshot(ctx, h.Address, hub.feed.Name); err == nil {
-				r.log.Warn().Str("event", "learned_from_host").Str("feed", hub.feed.Name).Str("from", string(h.ID)).Msg("it may be old")
-			}
-		}
-	}
-}
-
-// knowsAll says whether each feed has brought something.
-func (r *registry) knowsAll() bool {
-	for _, hub := range r.hubs {
-		if !hub.isKnown() {
-			return false
-		}
-	}
-	return true
-}
-
 // follow takes a host's stream until it ends; up is called after the first
 // update.
 func (r *registry) follow(ctx context.Context, address string, feeds []string, up func()) (err error) {
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -178,8 +178,8 @@
 	if reply, whole := replied.Payload.(*platform.Reply); whole && replied.Outcome == scatter.Succeeded {
 		part.Signature, part.Records = reply.Part(keeper)
 	}
-	// A wish to be left alone concerns this host only: the other one may send
-	// the part by itself.
+	// An upstream asks this host alone to back off: the other one may send the
+	// part by itself.
 	part.Leaving = replied.Notice.Leaving
 	if replied.Outcome == scatter.Withheld {
 		part.Outcome = int32(scatter.NotRelayed)
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -21,7 +21,7 @@
 	pools  *pools
 	dialer net.Dialer
 	memory *platform.Memory // for the bodies of answers
-	wishes wishes
+	guard  guard
 	panics *panics
 
 	mu      sync.Mutex
@@ -39,7 +39,7 @@
 	return &sender{
 		report:  report,
 		memory:  memory,
-		wishes:  newWishes(),
+		guard:   newGuard(),
 		panics:  p,
 		pools:   newPools(),
 		dialer:  net.Dialer{KeepAlive: -1},
@@ -136,9 +136,9 @@
 		return scatter.Replied{Attempt: send.Attempt, Outcome: outcome, Cause: err.Error()}, nil
 	}
 	withheld := func(notice scatter.Notice) (scatter.Replied, *conn) {
-		return scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Withheld, Notice: notice, Cause: "the upstream asked for no requests"}, nil
+		return scatter.Replied{Attempt: send.Attempt, Outcome: scatter.Withheld, Notice: notice, Cause: "the upstream leaves or asked to back off"}, nil
 	}
-	if notice := s.wishes.of(send.Target); notice.Forbids() {
+	if notice := s.guard.of(send.Target); notice.Forbids() {
 		return withheld(notice)
 	}
 	c, err := s.connect(send, state)
@@ -149,7 +149,7 @@
 		_ = c.raw.Close()
 		return failed(scatter.Unreached, context.Canceled)
 	}
-	if notice := s.wishes.of(send.Target); notice.Forbids() {
+	if notice := s.guard.of(send.Target); notice.Forbids() {
 		// It asked while the connection was opened.
 		s.release(state)
 		_ = c.raw.Close()
@@ -161,7 +161,7 @@
 		c.abort()
 		return failed(scatter.Lost, err)
 	}
-	s.wishes.take(send.Target, reply.Notice)
+	s.guard.take(send.Target, reply.Notice)
 	replied = scatter.Replied{Attempt: send.Attempt, Outcome: reply.Outcome, Payload: reply, Notice: reply.Notice}
 	if reply.Close || !sound {
 		c.abort()
