--- a/edge/panics_test.go
+++ b/edge/panics_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -112,21 +114,34 @@
 	})
 }
 
-// TestUnexpectedErrorInACallOfAnotherHost ends that call.
+// TestUnexpectedErrorInACallOfAnotherHost ends that call; the next one is
+// answered.
 func TestUnexpectedErrorInACallOfAnotherHost(t *testing.T) {
 	t.Parallel()
-	r := twoShards(t)
-	h := r.host("host-1", 1)
-	h.registry.hubs["broken"] = &hub{known: true}
-	defer delete(h.registry.hubs, "broken")
-	client, err := newPeers().client(h.place.Control)
+	m := newMeters()
+	h := &Host{
+		meters: m, panics: &panics{log: zerolog.Nop(), count: m.panics},
+		registry: &registry{hubs: map[string]*hub{"broken": {known: true}}},
+	}
+	listener, err := net.Listen("tcp", freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newPeerServer(h)
+	defer server.Stop()
+	go func() { _ = server.Serve(listener) }() // ends with Stop
+	client, err := newPeers().client(listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.Snapshot(context.Background(), &edgepb.SnapshotRequest{Feed: "broken"}); status.Code(err) != codes.Internal {
-		t.Errorf("got %v", err)
+	for feed, want := range map[string]codes.Code{"broken": codes.Internal, "unknown": codes.InvalidArgument} {
+		for range 2 {
+			if _, err := client.Snapshot(context.Background(), &edgepb.SnapshotRequest{Feed: feed}); status.Code(err) != want {
+				t.Errorf("%s: got %v", feed, err)
+			}
+		}
 	}
-	if got := h.ask("GET", "/fetch/", "id-1", ""); got.status != http.StatusOK {
-		t.Errorf("got %d afterwards", got.status)
+	if got := m.panics.Count(); got != 2 {
+		t.Errorf("%d panics were counted", got)
 	}
 }
