Test of repeats at another host waits until the hosts have counted each other

From the logs: strong-1 was asked to repeat before it had counted the hosts (hosts_counted came 20 ms later) and declined with extra_send_denied, as a host must that does not know how many share the budget. The test waits for that now; what it checks is as it was.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -407,14 +407,17 @@
 		r.host(fmt.Sprint("stands-by-", i), 0.1)
 	}
 	weak := r.host("weak", 0.1)
-	eventually(t, func() (err error) {
-		weak.decision.ask(func(e *scatter.Engine) {
-			if e.Role() == scatter.Gatherer || len(e.Ranked()) < 9 {
-				err = fmt.Errorf("the host is a %v of %d", e.Role(), len(e.Ranked()))
-			}
+	// Until a host has counted those that share the budget it repeats nothing.
+	for _, h := range append(strong, weak) {
+		eventually(t, func() (err error) {
+			h.decision.ask(func(e *scatter.Engine) {
+				if len(e.Ranked()) < 9 || h == weak && e.Role() == scatter.Gatherer {
+					err = fmt.Errorf("%s is a %v of %d", h.place.Host, e.Role(), len(e.Ranked()))
+				}
+			})
+			return err
 		})
-		return err
-	})
+	}
 	holder := func() (found *running) {
 		eventually(t, func() error {
 			for _, h := range strong {
