--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -309,8 +309,8 @@
 	}
 }
 
-// waitsPast says that a part waits for upstreams all of which want nothing until
-// after a time.
+// waitsPast says that a part waits and that all upstreams of its service asked
+// this host to back off until after a time.
 func (e *Engine) waitsPast(p *part, until time.Time) bool {
 	if !p.waiting {
 		return false
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// probe asks a host whether it is there that has had a request for longer than
-// usual. If it does not say so, another host is asked to run the request.
+// probe pings a host that has held a request for longer than usual. Without an
+// answer another host is asked to run the request.
 //
 // It answers hosts that freeze or are cut off: what they hold is silent, but so
 // is a request that takes long.
