--- a/standin/platformstub/store.go
+++ b/standin/platformstub/store.go
@@ -33,17 +33,26 @@
 	return &store{kinds: map[string]map[string]platform.StoredObject{}, changed: make(chan struct{})}
 }
 
-// list returns the objects of a kind after a name, sorted, as they were at a
-// moment.
-func (s *store) list(kind, after string, asOf time.Time) ([]platform.StoredObject, uint64) {
+// list returns the objects of a kind after a name, sorted, and the revision
+// they are of: the newest, or with a lag the one of that time, but none from
+// before the time earliest.
+func (s *store) list(kind, after string, lag time.Duration, earliest time.Time) ([]platform.StoredObject, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects := map[string]platform.StoredObject{}
 	for name, o := range s.kinds[kind] {
 		objects[name] = o
 	}
-	for i := len(s.history) - 1; i >= 0 && s.history[i].at.After(asOf); i-- {
-		s.undo(objects, kind, i)
+	revision := s.revision
+	if lag > 0 {
+		asOf := time.Now().Add(-lag)
+		if asOf.Before(earliest) {
+			asOf = earliest
+		}
+		for i := len(s.history) - 1; i >= 0 && s.history[i].at.After(asOf); i-- {
+			s.undo(objects, kind, i)
+			revision = s.history[i].revision - 1
+		}
 	}
 	var items []platform.StoredObject
 	for name, o := range objects {
@@ -57,7 +66,7 @@
 		}
 		return 1
 	})
-	return items, s.revision
+	return items, revision
 }
 
 // undo takes one change of the history back.
--- a/standin/platformstub/stub_test.go
+++ b/standin/platformstub/stub_test.go
@@ -5,8 +5,32 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
+// TestListThatWaited: a list holds all changes up to its revision, also those
+// that came between its call and its answer.
+func TestListThatWaited(t *testing.T) {
+	stub := New()
+	if err := stub.SetFaults(Faults{Delay: "100ms"}); err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		stub.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/objects/lease", nil))
+	}()
+	time.Sleep(30 * time.Millisecond)
+	if err := stub.Put("lease", "a", "x"); err != nil {
+		t.Fatal(err)
+	}
+	<-answered
+	if got := w.Body.String(); !strings.Contains(got, `"spec":"x"`) || !strings.Contains(got, `"store_revision":1`) {
+		t.Errorf("got %s", got)
+	}
+}
+
 func TestRequests(t *testing.T) {
 	object := func(name, revision, spec string) string {
 		return `{"meta":{"name":"` + name + `","revision":` + revision + `},"spec":` + spec + `}`
