A host that is cut off turns callers away; silent failure domains get nothing

Cause: a host that was ready once stayed ready until it stopped. While its failure domain is cut off, the platform went on sending it the callers of that domain, whom it cannot serve; each part sent to another domain hung until the deadline, and what could not be answered was not refused.

Now a pure decision (core/scatter/reach.go): what comes from a domain shows the way to it, pings to at most three hosts of each domain ask while nothing comes. Nothing is sent to a domain from which neither hosts nor upstreams answer, what needs it is refused at once, and a host that hears no other domain, is on the smaller side and serves less than half of its requests takes no callers. Entry hosts, which see few requests, do as the gatherers of their domain.

A host whose version has no Ping counts as alive.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -153,4 +153,8 @@
 	DecisionStore    Decision = "registry_reachable"
 	DecisionPeer     Decision = "host_rests"
 	DecisionPoison   Decision = "request_quarantined"
+	DecisionDark     Decision = "failure_domain_silent"
+	DecisionLit      Decision = "failure_domain_heard"
+	DecisionWithdraw Decision = "callers_turned_away"
+	DecisionReturn   Decision = "callers_taken_again"
 )
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -31,6 +31,9 @@
 	p.pending--
 	e.queue(p.service).end(now, now.Sub(a.sentAt))
 	a.notRun = r.Outcome.SurelyNotRun()
+	if r.Outcome.Answered() {
+		e.heardFromDomain(now, u.Domain)
+	}
 	e.takeNotice(now, u, r.Notice)
 	e.learn(now, a, r)
 	e.serveWaiting(now, p.service)
@@ -280,6 +283,7 @@
 	u, _ := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		within:      e.within(c.route),
+		reaches:     e.reaches(now, c),
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 	})
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if !e.Ready() {
-		e.refuseUnrouted(a, "the configuration or the upstreams are not known yet")
+		e.refuseUnrouted(now, a, "the configuration or the upstreams are not known yet")
 		return
 	}
 	route := e.config.Match(a.Host, a.Path)
@@ -55,7 +55,7 @@
 		e.refuse(now, c, "the question broke several upstreams")
 		return
 	}
-	if e.reachableParts(c) < c.needed() {
+	if e.reachableParts(now, c) < c.needed() {
 		e.refuse(now, c, "too few services have an upstream")
 		return
 	}
@@ -121,10 +121,10 @@
 
 // reachableParts counts the parts whose service has an upstream that may take
 // work while the call can wait for it.
-func (e *Engine) reachableParts(c *call) int {
+func (e *Engine) reachableParts(now time.Time, c *call) int {
 	count := 0
 	for _, p := range c.parts {
-		if at, found := e.freeAt(p); found && at.Before(c.waitsUntil()) {
+		if at, found := e.freeAt(now, p); found && at.Before(c.waitsUntil()) {
 			count++
 		}
 	}
@@ -188,6 +188,7 @@
 	u, busy := e.directory.pick(now, limits{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		within:      e.within(c.route),
+		reaches:     e.reaches(now, c),
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 		patient:     c.route.IsGather(),
@@ -223,6 +224,7 @@
 	p.waiting = false
 	e.attempts[a.id] = a
 	e.stats.Sends++
+	e.reach.sent(now, u.Domain)
 	e.queue(p.service).begin()
 	send := Send{
 		Attempt:     a.id,
@@ -294,7 +296,7 @@
 			in++
 		case !p.over:
 			open++
-			if e.waitsPast(p, c.answerAt) {
+			if e.waitsPast(now, p, c.answerAt) {
 				late++
 			}
 		}
@@ -311,11 +313,11 @@
 
 // waitsPast says that a part waits and that all upstreams of its service asked
 // this host to back off until after a time.
-func (e *Engine) waitsPast(p *part, until time.Time) bool {
+func (e *Engine) waitsPast(now time.Time, p *part, until time.Time) bool {
 	if !p.waiting {
 		return false
 	}
-	at, found := e.freeAt(p)
+	at, found := e.freeAt(now, p)
 	return !found || !at.Before(until)
 }
 
@@ -395,7 +397,8 @@
 }
 
 // refuseUnrouted refuses a request before its route is known.
-func (e *Engine) refuseUnrouted(a Arrived, why string) {
+func (e *Engine) refuseUnrouted(now time.Time, a Arrived, why string) {
+	e.conclude(now, false)
 	e.stats.Refused++
 	kind := Refused
 	if a.Repeat {
@@ -421,16 +424,22 @@
 func (e *Engine) retryAfter(now time.Time, c *call) time.Duration {
 	wait := time.Duration((0.5 + e.options.Random()) * max(retryShare*float64(c.route.Target), float64(c.roomIn)))
 	for _, p := range c.parts {
-		if at, found := e.freeAt(p); found {
+		if at, found := e.freeAt(now, p); found {
 			wait = max(wait, at.Sub(now))
 		}
 	}
 	left := time.Duration(maxRetryOfLeft * float64(c.deadline.Sub(now)))
+	if e.reach.cutOff() {
+		return max(0, left) // callers reach another failure domain after seconds
+	}
 	return max(0, min(wait, left))
 }
 
 func (e *Engine) finish(now time.Time, c *call, answer Answer, why string) {
 	e.leave(now, c)
+	if answer.Kind != Declined && (answer.Kind != PassedOn || c.failure == nil) {
+		e.conclude(now, answer.Kind == PassedOn || answer.Kind == Gathered)
+	}
 	e.out.Answers = append(e.out.Answers, answer)
 	decision := DecisionAnswer
 	if answer.Kind == Refused || answer.Kind == Declined {
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -268,7 +268,9 @@
 	service Service
 	// within says which failure domains the route allows.
 	within func(core.DomainID) bool
-	tried  []*upstream
+	// reaches says which failure domains the request may be sent to now.
+	reaches func(core.DomainID) bool
+	tried   []*upstream
 	// connections bounds the requests that this host may have at one upstream.
 	connections connectionShares
 	// waitsUntil is how long the request can wait for an upstream that wants
@@ -302,6 +304,9 @@
 			busy = busy || u.withheldUntil.Before(l.waitsUntil)
 			continue
 		}
+		if !l.reaches(u.Domain) {
+			continue
+		}
 		if now.Before(u.restsUntil) {
 			if now.Sub(u.probedAt) >= probeEvery && (resting == nil || u.restsUntil.Before(resting.restsUntil)) {
 				resting = u
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -47,9 +47,15 @@
 	queues     map[core.ServiceID]*queue
 	questions  questions
 	admission  admission
-	splits     map[*Route]*splitter
-	out        *Actions
-	stats      Stats
+	reach      reach
+	watching   bool // the other failure domains
+	// unserved is about the share of the last requests that were not served;
+	// withdrawn says that this host takes no callers.
+	unserved  float64
+	withdrawn bool
+	splits    map[*Route]*splitter
+	out       *Actions
+	stats     Stats
 }
 
 // Stats counts decisions since the start.
@@ -160,6 +166,9 @@
 	return e.Ready() || e.fleet.role != Gatherer && len(e.fleet.peers) > 0
 }
 
+// Withdrawn says that callers should go to hosts of other failure domains.
+func (e *Engine) Withdrawn() bool { return e.withdrawn }
+
 // Limits returns what the configuration in force allows callers; false while
 // none is known.
 func (e *Engine) Limits() (CallerLimits, bool) {
@@ -225,11 +234,11 @@
 	case DomainsOut:
 		e.setDomains(event.Domains)
 	case HostsSeen:
-		e.setHosts(event.Hosts)
+		e.setHosts(now, event.Hosts)
 	case HandoverEnded:
 		e.handedOver(now, event)
 	case HostHeard:
-		e.heardFrom(now, event.ID)
+		e.heardFrom(now, event)
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.graceTimer(now)
@@ -282,7 +291,7 @@
 	e.note(Note{Decision: DecisionDomains, Version: e.Version(), Detail: joined(names)})
 }
 
-func (e *Engine) setHosts(hosts []Host) {
+func (e *Engine) setHosts(now time.Time, hosts []Host) {
 	if !e.fleet.set(hosts) {
 		return
 	}
@@ -290,6 +299,12 @@
 	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
 		e.directory.hosts = append(e.directory.hosts, h.ID)
 	}
+	self := Host{ID: e.fleet.self, Domain: e.fleet.domain}
+	e.reach.set(now, self, e.fleet.ranked, e.fleet.near(), e.fleet.role == Entry)
+	if !e.watching {
+		e.watching = true
+		e.timers.Add(now.Add(contactEvery), e.watchDomains)
+	}
 	e.note(Note{Decision: DecisionHosts, Parts: len(hosts), Detail: e.fleet.role.String()})
 }
 
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -75,8 +75,8 @@
 type HandoverEnded struct {
 	Call core.CallID
 	To   core.HostID
-	// Outcome is Succeeded with an answer to pass on as Payload, NotExecuted
-	// when the host declined, Unreached or Lost.
+	// Outcome is Succeeded or Failed with an answer to pass on as Payload,
+	// NotExecuted when the host declined, Unreached or Lost.
 	Outcome Outcome
 	Payload any
 	// Took is how long the host itself worked on the request.
@@ -84,8 +84,12 @@
 	Cause string
 }
 
-// HostHeard says that another host answered a probe.
-type HostHeard struct{ ID core.HostID }
+// HostHeard says that something came from another host.
+type HostHeard struct {
+	ID core.HostID
+	// Withdrawn says that the host takes no callers.
+	Withdrawn bool
+}
 
 // StoreReachable says whether the registry of upstreams answers this host.
 type StoreReachable struct{ Reachable bool }
@@ -164,6 +168,11 @@
 // Arrived says that the upstream got the request, or may have.
 func (o Outcome) Arrived() bool { return o != Unreached && o != NotRelayed && o != Withheld }
 
+// Answered says that the upstream answered.
+func (o Outcome) Answered() bool {
+	return o == Succeeded || o == Failed || o == NotExecuted || o == WrongInstance
+}
+
 // SurelyNotRun says that the attempt did not run and never will.
 func (o Outcome) SurelyNotRun() bool {
 	return o == NotExecuted || o == WrongInstance || !o.Arrived()
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -112,7 +112,7 @@
 	e.timers.Add(h.deadline, func(now time.Time) {
 		if e.handovers[a.Call] == h {
 			e.suspectSilent(now, h)
-			e.endHandover(now, h, Answer{Kind: TimedOut})
+			e.endHandover(now, h, Answer{Kind: TimedOut}, false)
 		}
 	})
 	e.tryHandover(now, h)
@@ -188,10 +188,17 @@
 	return true
 }
 
-// heardFrom notes that a host answered a probe.
-func (e *Engine) heardFrom(now time.Time, id core.HostID) {
-	if p := e.fleet.peers[id]; p != nil {
+// heardFrom notes that something came from a host.
+func (e *Engine) heardFrom(now time.Time, h HostHeard) {
+	if p := e.fleet.peers[h.ID]; p != nil {
 		p.heardAt = now
+		if h.Withdrawn && p.Domain == e.fleet.domain {
+			e.reach.nearWithdrawnAt = now
+			e.decideWithdrawal(now)
+		}
+	}
+	if d := e.reach.of[h.ID]; d != nil {
+		e.heardFromDomain(now, d.id)
 	}
 }
 
@@ -239,6 +246,9 @@
 		if far {
 			cost += farHandover
 		}
+		if d := e.reach.byID[p.Domain]; d != nil && d.dark() {
+			cost += darkHandover
+		}
 		if cost < bestCost {
 			best, bestCost = p, cost
 		}
@@ -250,6 +260,9 @@
 // regions, so no body leaves its own.
 const farHandover = 2000
 
+// darkHandover is what a host in a failure domain costs from which nothing comes.
+const darkHandover = 500
+
 // standbyHandover is what a standby costs, in requests that wait: it is asked
 // only when the gatherers rest.
 const standbyHandover = 1000
@@ -268,6 +281,9 @@
 	h.runs = slices.Delete(h.runs, at, at+1)
 	p := run.to
 	p.running--
+	if r.Outcome != Unreached && r.Outcome != Lost {
+		e.heardFromDomain(now, p.Domain)
+	}
 	switch {
 	case r.Outcome == Succeeded || r.Outcome == Failed:
 		p.suspects, p.declines, p.heardAt = 0, 0, now
@@ -275,7 +291,7 @@
 			p.observeOverhead(now.Sub(h.arrived.At) - r.Took)
 		}
 		p.took += time.Duration(tookGain * float64(now.Sub(run.sentAt)-p.took))
-		e.endHandover(now, h, Answer{Kind: PassedOn, Payload: r.Payload})
+		e.endHandover(now, h, Answer{Kind: PassedOn, Payload: r.Payload}, r.Outcome == Succeeded)
 		return
 	case r.Outcome != NotExecuted:
 		e.rest(now, p, r)
@@ -289,7 +305,7 @@
 		e.tryHandover(now, h)
 	case run.repeat && r.Outcome == Unreached && e.retryRepeat(now, h), e.repeatHandover(now, h), len(h.runs) > 0:
 	default:
-		e.endHandover(now, h, Answer{Kind: UpstreamsFailed})
+		e.endHandover(now, h, Answer{Kind: UpstreamsFailed}, false)
 	}
 }
 
@@ -316,7 +332,8 @@
 	}
 }
 
-func (e *Engine) endHandover(now time.Time, h *handover, answer Answer) {
+func (e *Engine) endHandover(now time.Time, h *handover, answer Answer, served bool) {
+	e.conclude(now, served)
 	answer.Call = h.arrived.Call
 	e.dropHandover(h)
 	e.out.Answers = append(e.out.Answers, answer)
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -153,6 +153,12 @@
 // able returns the hosts that requests are handed to, gatherers first.
 func (f *fleet) able() []Host { return f.ranked[:min(len(f.ranked), f.gatherers()+standbys)] }
 
+// near returns the other hosts of this host's failure domain that requests are
+// handed to.
+func (f *fleet) near() []Host {
+	return slices.DeleteFunc(slices.Clone(f.able()), func(h Host) bool { return h.Domain != f.domain || h.ID == f.self })
+}
+
 // allowanceShare is this host's part of what the tier may spend beyond a ratio
 // of its requests. Hosts that are not meant to gather have none.
 func (f *fleet) allowanceShare() float64 {
--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -112,11 +112,12 @@
 	e.timers.Add(end, func(now time.Time) { e.serveWaiting(now, u.Service) })
 }
 
-// freeAt returns when the first upstream that may run a part takes requests, as
-// far as they said; false when there is none.
-func (e *Engine) freeAt(p *part) (at time.Time, found bool) {
+// freeAt returns when the first upstream that may run a part and can be reached
+// takes requests, as far as they said; false when there is none.
+func (e *Engine) freeAt(now time.Time, p *part) (at time.Time, found bool) {
+	reaches := e.reaches(now, p.call)
 	for _, u := range e.directory.byService[p.service] {
-		if e.directory.mayTake(u) && p.call.route.allows(e.options.Regions[u.Domain]) && (!found || u.withheldUntil.Before(at)) {
+		if e.directory.mayTake(u) && p.call.route.allows(e.options.Regions[u.Domain]) && reaches(u.Domain) && (!found || u.withheldUntil.Before(at)) {
 			at, found = u.withheldUntil, true
 		}
 	}
--- /dev/null
+++ b/core/scatter/reach.go
@@ -0,0 +1,264 @@
+package scatter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// contactEvery is how long a failure domain may be silent before one of its
+	// hosts is pinged, and then another one.
+	contactEvery = 250 * time.Millisecond
+	// darkAfter pings in a row without an answer make a domain dark.
+	darkAfter = 3
+	// entryQuiet is how long nothing may come from any other domain before a
+	// host that sends nothing to upstreams pings entryPings hosts each
+	// contactEvery. It is more than the pause between two heartbeats of the
+	// host that it follows.
+	entryQuiet = time.Second
+	entryPings = 2
+	// pingedHosts of each domain are pinged, in turn while they do not answer.
+	pingedHosts = 3
+	// cutOffAfter rounds of pings without anything from any other domain make a
+	// host cut off.
+	cutOffAfter = 3
+	// trialEvery is how often, and trialFor how long, parts that may be repeated
+	// are sent to a silent domain all the same: its hosts may be gone for good
+	// and its upstreams back.
+	trialEvery = 2 * time.Second
+	trialFor   = 40 * time.Millisecond
+	// unservedGain is the weight of one request in the share that is not
+	// served; above withdrawAbove a host that is cut off takes no callers.
+	unservedGain  = 0.2
+	withdrawAbove = 0.5
+	// wordHolds is how long it counts that a host of the own domain takes no
+	// callers.
+	wordHolds = time.Second
+)
+
+// reach is what this host believes of its ways to the other failure domains.
+// Whatever comes from a domain's hosts or upstreams shows that the way is
+// there; while nothing comes, hosts are pinged.
+type reach struct {
+	domains []*domainReach // of other hosts, in this host's own order
+	of      map[core.HostID]*domainReach
+	byID    map[core.DomainID]*domainReach
+	// near are the hosts of this host's own domain that may gather.
+	near []Host
+	// entry hosts watch the other domains as a whole.
+	entry bool
+	// minority says that the hosts of this host's own domain are fewer than the
+	// others together. Of two halves that are cut from each other one goes on.
+	minority bool
+
+	heardAt time.Time // from any other domain
+	rounds  int       // of pings since then
+	turn    int       // the first domain that an entry host pings
+	// nearWithdrawnAt is when a host of the own domain last said that it takes
+	// no callers.
+	nearWithdrawnAt time.Time
+}
+
+// domainReach is one failure domain with hosts of the tier.
+type domainReach struct {
+	id        core.DomainID
+	hosts     []Host // the first in this host's own order
+	next      int    // the host to ping
+	heardAt   time.Time
+	asked     bool // the last ping has no answer
+	missed    int  // pings in a row without one
+	darkSince time.Time
+	sentAt    time.Time // the first send since the domain was heard
+}
+
+func (d *domainReach) dark() bool { return !d.darkSince.IsZero() }
+
+// silent says that neither the hosts nor the upstreams of a domain answer. The
+// hosts alone may be gone for another reason.
+func (d *domainReach) silent(now time.Time) bool {
+	return d.dark() && !d.sentAt.IsZero() && now.Sub(d.sentAt) >= contactEvery
+}
+
+// ping returns the host of the domain whose turn it is.
+func (d *domainReach) ping() Host {
+	if d.asked {
+		d.next++
+	}
+	d.asked = true
+	return d.hosts[d.next%len(d.hosts)]
+}
+
+// set takes the hosts of the tier, those of the own domain that may gather, and
+// whether this host is an entry host. What is believed of a domain stays.
+func (r *reach) set(now time.Time, self Host, hosts, near []Host, entry bool) {
+	before := r.byID
+	r.domains, r.of, r.byID = nil, map[core.HostID]*domainReach{}, map[core.DomainID]*domainReach{}
+	r.near, r.entry = near, entry
+	if r.heardAt.IsZero() {
+		r.heardAt = now
+	}
+	own, first := 0, self.Domain
+	for _, h := range hosts {
+		if h.Domain == self.Domain {
+			own++
+			continue
+		}
+		first = min(first, h.Domain)
+		d := r.byID[h.Domain]
+		if d == nil {
+			d = &domainReach{id: h.Domain, heardAt: now}
+			if known := before[h.Domain]; known != nil {
+				*d = *known
+				d.hosts = nil
+			}
+			r.byID[h.Domain] = d
+			r.domains = append(r.domains, d)
+		}
+		d.hosts = append(d.hosts, h)
+		r.of[h.ID] = d
+	}
+	r.minority = 2*own < len(hosts) || 2*own == len(hosts) && first != self.Domain
+	// Hosts that all ask in the same order would all ask the same few.
+	mine := func(name string) uint64 { return rendezvous(self.ID, core.UpstreamID(name)) }
+	slices.SortFunc(r.domains, func(a, b *domainReach) int { return cmp.Compare(mine(string(a.id)), mine(string(b.id))) })
+	for _, d := range r.domains {
+		slices.SortFunc(d.hosts, func(a, b Host) int { return cmp.Compare(mine(string(a.ID)), mine(string(b.ID))) })
+		d.hosts = d.hosts[:min(len(d.hosts), pingedHosts)]
+	}
+}
+
+// heard notes that something came from a domain. True means that it was dark.
+func (r *reach) heard(now time.Time, id core.DomainID) bool {
+	d := r.byID[id]
+	if d == nil {
+		return false
+	}
+	was := d.dark()
+	d.heardAt, d.asked, d.missed, d.darkSince, d.sentAt = now, false, 0, time.Time{}, time.Time{}
+	r.heardAt, r.rounds = now, 0
+	return was
+}
+
+// sent notes a send to an upstream of a domain.
+func (r *reach) sent(now time.Time, id core.DomainID) {
+	if d := r.byID[id]; d != nil && d.sentAt.IsZero() {
+		d.sentAt = now
+	}
+}
+
+// watch returns the hosts to ping, and the domains that have just become dark.
+// It runs once each contactEvery.
+func (r *reach) watch(now time.Time) (pings []Host, dark []*domainReach) {
+	switch {
+	case !r.entry:
+		pings, dark = r.watchEach(now)
+	case len(r.domains) > 0 && now.Sub(r.heardAt) >= entryQuiet:
+		if r.rounds > 0 {
+			r.turn += entryPings
+		}
+		for i := range entryPings {
+			pings = append(pings, r.domains[(r.turn+i)%len(r.domains)].ping())
+		}
+	}
+	if len(pings) > 0 {
+		r.rounds++
+	}
+	if r.entry && r.cutOff() {
+		pings = append(pings, r.near[:min(len(r.near), entryPings)]...)
+	}
+	return pings, dark
+}
+
+// watchEach pings each silent domain.
+func (r *reach) watchEach(now time.Time) (pings []Host, dark []*domainReach) {
+	for _, d := range r.domains {
+		if now.Sub(d.heardAt) < contactEvery {
+			continue
+		}
+		if d.asked {
+			d.missed++
+			if d.missed >= darkAfter && !d.dark() {
+				d.darkSince = now
+				dark = append(dark, d)
+			}
+		}
+		pings = append(pings, d.ping())
+	}
+	return pings, dark
+}
+
+// cutOff says that this host reaches no other domain and is on the smaller side.
+func (r *reach) cutOff() bool { return r.minority && r.rounds > cutOffAfter }
+
+// watchDomains runs the watch once each contactEvery.
+func (e *Engine) watchDomains(now time.Time) {
+	pings, dark := e.reach.watch(now)
+	e.out.Probes = append(e.out.Probes, pings...)
+	for _, d := range dark {
+		e.note(Note{Decision: DecisionDark, Detail: string(d.id), Age: now.Sub(d.heardAt), Attempt: d.missed})
+	}
+	e.decideWithdrawal(now)
+	e.timers.Add(now.Add(contactEvery), e.watchDomains)
+}
+
+// heardFromDomain notes that something came from a failure domain.
+func (e *Engine) heardFromDomain(now time.Time, id core.DomainID) {
+	if e.reach.heard(now, id) {
+		e.note(Note{Decision: DecisionLit, Detail: string(id)})
+	}
+	if e.withdrawn {
+		e.decideWithdrawal(now)
+	}
+}
+
+// reaches says whether a call's parts may be sent to a failure domain.
+func (e *Engine) reaches(now time.Time, c *call) func(core.DomainID) bool {
+	return func(id core.DomainID) bool {
+		d := e.reach.byID[id]
+		trial := c.route.Repeatable && d != nil && now.Sub(d.darkSince)%trialEvery < trialFor
+		return d == nil || trial || !d.silent(now)
+	}
+}
+
+// servesNobody says that this host cannot serve most requests: by what became of
+// the last ones or, at a host that hands requests over, by the word of a host
+// that gathers in its domain, or because there is none.
+func (e *Engine) servesNobody(now time.Time) bool {
+	if e.unserved > withdrawAbove {
+		return true
+	}
+	return e.reach.entry && (len(e.reach.near) == 0 || now.Sub(e.reach.nearWithdrawnAt) < wordHolds)
+}
+
+// conclude learns from the end of a caller's request.
+func (e *Engine) conclude(now time.Time, served bool) {
+	if served {
+		e.unserved -= unservedGain * e.unserved
+		return
+	}
+	e.unserved += unservedGain * (1 - e.unserved)
+	e.decideWithdrawal(now)
+}
+
+// decideWithdrawal decides whether this host takes callers. One that is cut off
+// from the other failure domains and cannot serve most requests takes none until
+// something comes from another domain: where all hosts of its domain do the
+// same, callers go to the next one.
+//
+// A fault that all hosts share, such as a store that is away, a wave of requests
+// or upstreams that are gone, does not cut hosts off from each other, and
+// withdraws none.
+func (e *Engine) decideWithdrawal(now time.Time) {
+	cutOff := e.reach.cutOff()
+	switch {
+	case e.withdrawn && !cutOff:
+		e.withdrawn = false
+		e.note(Note{Decision: DecisionReturn, Detail: "another failure domain is heard"})
+	case !e.withdrawn && cutOff && e.servesNobody(now):
+		e.withdrawn = true
+		e.note(Note{Decision: DecisionWithdraw, Detail: "cut off from the other failure domains", Age: now.Sub(e.reach.heardAt)})
+	}
+}
--- /dev/null
+++ b/core/scatter/reach_test.go
@@ -0,0 +1,228 @@
+package scatter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// reachRig is a rig in the failure domain d1 of three, with some hosts in each.
+// Upstreams and hosts of the domains in cut answer nothing; gathers need d2.
+type reachRig struct {
+	*rig
+	cut map[core.DomainID]bool
+}
+
+func newReachRig(t *testing.T, near, others int) *reachRig {
+	r := &reachRig{rig: newRig(t), cut: map[core.DomainID]bool{}}
+	hosts := []scatter.Host{{ID: "host-1", Domain: "d1", Power: 1}}
+	for i := range near - 1 {
+		hosts = append(hosts, scatter.Host{ID: core.HostID(fmt.Sprint("near-", i)), Domain: "d1", Power: 1})
+	}
+	domains := map[core.HostID]core.DomainID{}
+	for i := range others {
+		for _, domain := range []core.DomainID{"d2", "d3"} {
+			id := core.HostID(fmt.Sprint(domain, "-", i))
+			domains[id] = domain
+			hosts = append(hosts, scatter.Host{ID: id, Domain: domain, Power: 1})
+		}
+	}
+	r.step(scatter.HostsSeen{Hosts: hosts})
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if r.cut[s.Target.Domain] {
+			return s.Deadline.Sub(r.now), scatter.Lost
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	r.probed = func(id core.HostID) {
+		if !r.cut[domains[id]] {
+			r.later.Add(r.now.Add(5*ms), func() { r.step(scatter.HostHeard{ID: id}) })
+		}
+	}
+	r.configure(1, 4)
+	return r
+}
+
+// away removes the upstreams of a suffix.
+func (r *reachRig) away(suffix string) {
+	for _, service := range []string{"shard00", "shard01", "shard02", "shard03", "files", "orders"} {
+		r.step(scatter.UpstreamRemoved{ID: core.UpstreamID(service + "-" + suffix)})
+		r.run(2 * time.Second) // removals that come together are not believed at once
+	}
+}
+
+// traffic asks for something each 20 ms.
+func (r *reachRig) traffic(d time.Duration, paths ...string) {
+	for end, i := r.now.Add(d), 0; r.now.Before(end); i++ {
+		r.ask(paths[i%len(paths)])
+		r.run(20 * ms)
+	}
+}
+
+// TestCallersAreTurnedAwayByHostsThatAreCutOff is the table of the faults in
+// which a host takes no callers, and of those in which it takes them.
+func TestCallersAreTurnedAwayByHostsThatAreCutOff(t *testing.T) {
+	for name, tt := range map[string]struct {
+		near, others int // hosts in this domain and in each other one
+		alone        bool
+		breaks       func(r *reachRig)
+		want         bool
+	}{
+		"its domain is cut off":             {1, 2, false, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, true},
+		"half of two is cut off, not first": {1, 1, false, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, true},
+		"cut off, but served from here":     {1, 2, true, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, false},
+		"the others are cut off":            {6, 1, false, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, false},
+		"another domain is lost":            {1, 2, false, func(r *reachRig) { r.cut["d2"] = true }, false},
+		"the store is away":                 {1, 2, false, func(r *reachRig) { r.step(scatter.StoreReachable{}) }, false},
+		"all upstreams are gone for good":   {1, 2, false, func(r *reachRig) { r.away("b") }, false},
+		"nothing is broken":                 {1, 2, false, func(*reachRig) {}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReachRig(t, tt.near, tt.others)
+			if !tt.alone {
+				r.away("a")
+			}
+			r.traffic(time.Second, gatherPath, orderPath)
+			tt.breaks(r)
+			r.traffic(2*time.Second, gatherPath, orderPath)
+			if got := r.engine.Withdrawn(); got != tt.want {
+				t.Fatalf("withdrawn: %v", got)
+			}
+			clear(r.cut)
+			r.run(300 * ms)
+			if r.engine.Withdrawn() {
+				t.Error("withdrawn although the other domains are heard again")
+			}
+		})
+	}
+}
+
+// TestSilentDomainsAreLeftAlone: once a failure domain is silent, what needs it
+// is refused at once, the rest is answered without waiting for it, and what may
+// run once is not sent there.
+func TestSilentDomainsAreLeftAlone(t *testing.T) {
+	for _, needed := range []bool{true, false} {
+		r := newReachRig(t, 1, 2)
+		if needed {
+			r.away("a")
+		}
+		r.traffic(time.Second, gatherPath, orderPath)
+		r.cut["d2"] = true
+		r.traffic(1500*ms, gatherPath, orderPath)
+		before := len(r.sends)
+		gather, order := r.ask(gatherPath), r.ask(orderPath)
+		r.run(10 * ms)
+		if needed {
+			r.want(gather, scatter.Refused)
+			r.want(order, scatter.Refused)
+		} else {
+			r.want(gather, scatter.Gathered)
+			r.want(order, scatter.PassedOn)
+		}
+		for _, s := range r.sends[before:] {
+			if s.Target.Domain == "d2" {
+				t.Errorf("sent to %s", s.Target.ID)
+			}
+		}
+		clear(r.cut)
+		r.run(300 * ms)
+		order = r.ask(orderPath)
+		r.run(100 * ms)
+		r.want(order, scatter.PassedOn)
+	}
+}
+
+// TestHostsOfASilentDomainMayBeGone: upstreams of a domain whose hosts are all
+// gone are used on, also after they were silent themselves for a while.
+func TestHostsOfASilentDomainMayBeGone(t *testing.T) {
+	r := newReachRig(t, 1, 2)
+	r.away("a")
+	r.probed = nil
+	r.traffic(3*time.Second, gatherPath)
+	last := r.ask(gatherPath)
+	r.run(100 * ms)
+	r.want(last, scatter.Gathered)
+	r.cut["d2"] = true
+	r.traffic(2*time.Second, gatherPath)
+	clear(r.cut)
+	r.traffic(2500*ms, gatherPath)
+	last = r.ask(gatherPath)
+	r.run(100 * ms)
+	r.want(last, scatter.Gathered)
+}
+
+// TestEntryHostsFollowTheGatherersOfTheirDomain: an entry host that is asked
+// little pings nobody while it hears of another domain, and takes no callers
+// when it is cut off and a gatherer of its domain takes none.
+func TestEntryHostsFollowTheGatherersOfTheirDomain(t *testing.T) {
+	for name, tt := range map[string]struct {
+		cut, gatherers, word, want bool
+	}{
+		"cut off with gatherers that take none":                 {true, true, true, true},
+		"cut off with gatherers that serve":                     {true, true, false, false},
+		"cut off without a gatherer":                            {true, false, false, true},
+		"in touch, a gatherer that takes none is believed less": {false, true, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			hosts := []scatter.Host{{ID: "host-1", Domain: "d1", Power: 0.1}}
+			domains := map[core.HostID]core.DomainID{}
+			for i := range 300 {
+				h := scatter.Host{ID: core.HostID(fmt.Sprint("h", i)), Domain: core.DomainID(fmt.Sprint("d", i%14)), Power: 0.1}
+				if i < 24 && (tt.gatherers || h.Domain != "d1") {
+					h.Power = 1
+				}
+				hosts = append(hosts, h)
+				domains[h.ID] = h.Domain
+			}
+			r.step(scatter.HostsSeen{Hosts: hosts})
+			if r.engine.Role() != scatter.Entry {
+				t.Fatalf("it is a %v", r.engine.Role())
+			}
+			cut, pings := false, 0
+			asked := map[core.DomainID]bool{}
+			hostsAsked := map[core.HostID]bool{}
+			r.probed = func(id core.HostID) {
+				pings++
+				hostsAsked[id] = true
+				asked[domains[id]] = true
+				if near := domains[id] == "d1"; near || !cut {
+					r.later.Add(r.now.Add(5*ms), func() { r.step(scatter.HostHeard{ID: id, Withdrawn: near && tt.word}) })
+				}
+			}
+			heartbeats := func(d time.Duration) {
+				for end := r.now.Add(d); r.now.Before(end); r.run(700 * ms) {
+					r.step(scatter.HostHeard{ID: "h2"})
+				}
+			}
+			heartbeats(10 * time.Second)
+			if pings > 0 {
+				t.Errorf("%d pings while another domain is heard", pings)
+			}
+			r.run(10 * time.Second)
+			if pings > 20 || len(hostsAsked) > 4 {
+				t.Errorf("%d pings to %d hosts in 10 s without heartbeats", pings, len(hostsAsked))
+			}
+			cut = tt.cut
+			clear(asked)
+			r.run(2500 * ms)
+			if got := r.engine.Withdrawn(); got != tt.want {
+				t.Errorf("withdrawn: %v", got)
+			}
+			if tt.cut && len(asked) < 8 {
+				t.Errorf("only %d domains were asked", len(asked))
+			}
+			r.run(time.Minute)
+			if len(hostsAsked) > 60 {
+				t.Errorf("%d hosts were pinged in a minute", len(hostsAsked))
+			}
+			r.step(scatter.HostHeard{ID: "h2"})
+			if r.engine.Withdrawn() {
+				t.Error("withdrawn although another domain is heard")
+			}
+		})
+	}
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/edgepb"
 	"github.com/samphirebeam/samphirebeam/platform"
@@ -78,6 +79,8 @@
 	hosts   *hub
 	// firstStart says that all hosts start for the first time.
 	firstStart bool
+	// onHeard is told of each message of a host that is followed.
+	onHeard func(core.HostID)
 	// onReachable is told when the first feed is cut off, and when all are
 	// back.
 	onReachable func(bool)
@@ -158,9 +161,9 @@
 
 // follow takes a host's stream until it ends; up is called after the first
 // update.
-func (r *registry) follow(ctx context.Context, address string, feeds []string, up func()) (err error) {
+func (r *registry) follow(ctx context.Context, reader scatter.Host, feeds []string, up func()) (err error) {
 	defer r.panics.caught("registry", "", func() { err = errUnexpected })
-	client, err := r.peers.client(address)
+	client, err := r.peers.client(reader.Address)
 	if err != nil {
 		return err
 	}
@@ -179,6 +182,7 @@
 			return eris.Wrapf(err, "follow (%v)", context.Cause(ctx))
 		}
 		silence.Reset(followSilence)
+		r.onHeard(reader.ID)
 		if message.Feed == "" {
 			continue
 		}
@@ -368,7 +372,7 @@
 	for at := slot; ctx.Err() == nil; at += slots {
 		reader := others[at%len(others)]
 		up := false
-		err := r.follow(ctx, reader.Address, feeds, func() {
+		err := r.follow(ctx, reader, feeds, func() {
 			up, failures = true, 0
 			r.setUp(true, feeds)
 			r.log.Info().Str("event", "dependency_regained").Str("dependency", "reader").Str("reader", string(reader.ID)).Msg("following")
--- a/edge/front.go
+++ b/edge/front.go
@@ -45,11 +45,13 @@
 	server   *http.Server
 	sequence atomic.Uint64
 	stopping atomic.Bool
-	maxHead  atomic.Int64
-	maxBody  atomic.Int64
-	memory   *platform.Memory
-	panics   *panics
-	maxIdle  atomic.Int64 // nanoseconds
+	// withdrawn says that callers should go to other hosts for now.
+	withdrawn atomic.Bool
+	maxHead   atomic.Int64
+	maxBody   atomic.Int64
+	memory    *platform.Memory
+	panics    *panics
+	maxIdle   atomic.Int64 // nanoseconds
 
 	mu    sync.Mutex
 	calls map[core.CallID]*pending
@@ -135,9 +137,7 @@
 		w.Header().Set("Connection", "close")
 		_ = platform.WriteReply(w, platform.Render(platform.CallerRequest{}, scatter.Answer{Kind: kind, RetryAfter: fullRetry}))
 	})
-	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.sendElsewhere(w)
 	request, err := f.read(w, r)
 	if err != nil {
 		platform.WriteReadError(w, err)
@@ -151,13 +151,19 @@
 	if left {
 		panic(http.ErrAbortHandler) // without it the library would answer 200
 	}
-	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.sendElsewhere(w)
 	f.write(w, platform.Render(request, answer))
 	f.metrics.latency.UpdateSince(started)
 }
 
+// sendElsewhere has the caller open its next connection anew while this host is
+// stopping or withdrawn.
+func (f *front) sendElsewhere(w http.ResponseWriter) {
+	if f.stopping.Load() || f.withdrawn.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // read takes a caller's request. A caller has as long for a body as it waits
 // for the answer.
 func (f *front) read(w http.ResponseWriter, r *http.Request) (platform.CallerRequest, *platform.ReadError) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/platform"
 	"github.com/samphirebeam/samphirebeam/ring"
@@ -97,6 +98,7 @@
 	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, place.Seeds, h.deliver)
 	h.registry.contact = place.Contact
 	h.registry.firstStart = place.FirstStart
+	h.registry.onHeard = func(id core.HostID) { h.offer(scatter.HostHeard{ID: id}) }
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
 	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform, renew: h.renewCore}
@@ -272,11 +274,12 @@
 		defer h.panics.caught("probe", "", nil)
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		defer cancel()
-		if err := h.peers.ping(ctx, host.Address); err != nil {
+		withdrawn, err := h.peers.ping(ctx, host.Address)
+		if err != nil {
 			h.log.Debug().Str("event", "host_silent").Str("peer", string(host.ID)).AnErr("cause", err).Msg("no answer to a ping")
 			return
 		}
-		h.report(scatter.HostHeard{ID: host.ID})
+		h.report(scatter.HostHeard{ID: host.ID, Withdrawn: withdrawn})
 	}()
 }
 
@@ -288,6 +291,7 @@
 		h.ready.Store(true)
 		h.log.Info().Str("event", "ready").Str("role", c.Role().String()).Uint64("config_version", c.Version()).Msg("requests can be answered")
 	}
+	h.front.withdrawn.Store(c.Withdrawn())
 	current := h.registry.current.Load()
 	if ranked, active := c.Ranked(), c.Active(now); active != current.active || len(ranked) > 0 && !sameHosts(ranked, current.ranked) {
 		h.registry.current.Store(&plan{self: current.self, ranked: ranked, active: active})
@@ -361,7 +365,7 @@
 // serveReady answers the platform's readiness check.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Length", "0")
-	if !h.ready.Load() || h.stopping.Load() {
+	if !h.ready.Load() || h.stopping.Load() || h.front.withdrawn.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -135,6 +135,9 @@
 		ended.Outcome, ended.Cause = scatter.Lost, fmt.Sprintf("status %d", reply.Status)
 	case err == nil:
 		ended.Outcome = scatter.Succeeded
+		if reply.Status >= http.StatusInternalServerError {
+			ended.Outcome = scatter.Failed
+		}
 		ended.Took = time.Duration(reply.TookUs) * time.Microsecond
 		ended.Payload = platform.NewReply(int(reply.Status), decodeHeaders(reply.Headers), reply.Body)
 	case sent.Load() && status.Code(err) != codes.Unimplemented:
@@ -145,14 +148,17 @@
 	return ended
 }
 
-// ping asks a host whether it is there.
-func (p *peers) ping(ctx context.Context, address string) error {
+// ping asks a host whether it is there, and returns whether it takes no callers.
+func (p *peers) ping(ctx context.Context, address string) (withdrawn bool, err error) {
 	client, err := p.client(address)
 	if err != nil {
-		return err
+		return false, err
 	}
-	_, err = client.Ping(ctx, &edgepb.PingRequest{})
-	return eris.Wrap(err, "ping")
+	reply, err := client.Ping(ctx, &edgepb.PingRequest{})
+	if status.Code(err) == codes.Unimplemented {
+		return false, nil // an older version, which is there
+	}
+	return reply.GetWithdrawn(), eris.Wrap(err, "ping")
 }
 
 func encodeRun(h scatter.Handover, request platform.CallerRequest) *edgepb.RunRequest {
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -218,6 +218,7 @@
 	status int
 	header http.Header
 	body   []byte
+	closes bool // the host ends the connection
 	err    error
 }
 
@@ -236,7 +237,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: data, err: err}
+	return reply{status: response.StatusCode, header: response.Header, body: data, closes: response.Close, err: err}
 }
 
 // eventually retries a check for a few seconds.
--- a/edge/service.go
+++ b/edge/service.go
@@ -131,7 +131,7 @@
 	if !s.host.decision.ask(func(*scatter.Engine) {}) {
 		return nil, status.Error(codes.Unavailable, "this host stops")
 	}
-	return &edgepb.PingReply{}, nil
+	return &edgepb.PingReply{Withdrawn: s.host.front.withdrawn.Load()}, nil
 }
 
 // Run implements edgepb.EdgeServer.
