--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -13,6 +13,9 @@
 	Handovers []Handover
 	// Probes are the hosts to ask whether they are there.
 	Probes []Host
+	// Silent is to be told to the hosts that follow this one; nil says nothing
+	// new.
+	Silent *SilentHosts
 	// CallsGone are the calls whose handover is to end.
 	CallsGone []core.CallID
 	Answers   []Answer
@@ -26,6 +29,7 @@
 	clear(a.Answers)
 	clear(a.Notes)
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
+	a.Silent = nil
 	a.Handovers, a.Probes, a.CallsGone = a.Handovers[:0], a.Probes[:0], a.CallsGone[:0]
 }
 
@@ -68,6 +72,9 @@
 	Repeat bool
 }
 
+// SilentHosts is what this host believes of hosts that it watches.
+type SilentHosts struct{ Hosts []core.HostID }
+
 // Answer is the final answer to a call.
 type Answer struct {
 	Call core.CallID
@@ -152,6 +159,7 @@
 	DecisionHosts    Decision = "hosts_counted"
 	DecisionStore    Decision = "registry_reachable"
 	DecisionPeer     Decision = "host_rests"
+	DecisionSilent   Decision = "hosts_silent"
 	DecisionPoison   Decision = "request_quarantined"
 	DecisionDark     Decision = "failure_domain_silent"
 	DecisionLit      Decision = "failure_domain_heard"
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -184,7 +184,7 @@
 	}
 	most := c.route.MaxUpstreams
 	if c.request.Repeat {
-		most-- // at the host that had it first
+		most = 1
 	}
 	if p.ran() >= max(1, most) || p.sends >= maxAttempts || !now.Before(c.deadline) {
 		return false
@@ -284,6 +284,7 @@
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		within:      e.within(c.route),
 		reaches:     e.reaches(now, c),
+		only:        e.onlyUpstream(now, p),
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 	})
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -40,7 +40,7 @@
 		e.note(Note{Decision: DecisionAnswer, RequestID: a.RequestID, Version: e.Version(), Detail: NoRoute.String()})
 		return
 	}
-	if a.Repeat && !route.Repeatable {
+	if a.Repeat && (!route.Repeatable || route.MaxUpstreams < 2) {
 		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
 		return
 	}
@@ -189,6 +189,7 @@
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		within:      e.within(c.route),
 		reaches:     e.reaches(now, c),
+		only:        e.onlyUpstream(now, p),
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 		patient:     c.route.IsGather(),
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -270,7 +270,9 @@
 	within func(core.DomainID) bool
 	// reaches says which failure domains the request may be sent to now.
 	reaches func(core.DomainID) bool
-	tried   []*upstream
+	// only is the one upstream that may be picked; nil is any.
+	only  *upstream
+	tried []*upstream
 	// connections bounds the requests that this host may have at one upstream.
 	connections connectionShares
 	// waitsUntil is how long the request can wait for an upstream that wants
@@ -304,7 +306,7 @@
 			busy = busy || u.withheldUntil.Before(l.waitsUntil)
 			continue
 		}
-		if !l.reaches(u.Domain) {
+		if !l.reaches(u.Domain) || l.only != nil && u != l.only {
 			continue
 		}
 		if now.Before(u.restsUntil) {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -239,6 +239,10 @@
 		e.handedOver(now, event)
 	case HostHeard:
 		e.heardFrom(now, event)
+	case Followed:
+		e.followed(event.ByOthers)
+	case HostsSilent:
+		e.silentHosts(now, event)
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.graceTimer(now)
@@ -303,7 +307,7 @@
 	e.reach.set(now, self, e.fleet.ranked, e.fleet.near(), e.fleet.role == Entry)
 	if !e.watching {
 		e.watching = true
-		e.timers.Add(now.Add(contactEvery), e.watchDomains)
+		e.timers.Add(now.Add(contactEvery), e.watch)
 	}
 	e.note(Note{Decision: DecisionHosts, Parts: len(hosts), Detail: e.fleet.role.String()})
 }
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -91,6 +91,16 @@
 	Withdrawn bool
 }
 
+// Followed says whether other hosts follow this one.
+type Followed struct{ ByOthers bool }
+
+// HostsSilent is what a host that watches others says of them: those that are
+// silent, in place of what it said before.
+type HostsSilent struct {
+	By    core.HostID
+	Hosts []core.HostID
+}
+
 // StoreReachable says whether the registry of upstreams answers this host.
 type StoreReachable struct{ Reachable bool }
 
@@ -109,6 +119,8 @@
 func (HandoverEnded) isEvent()   {}
 func (StoreReachable) isEvent()  {}
 func (HostHeard) isEvent()       {}
+func (Followed) isEvent()        {}
+func (HostsSilent) isEvent()     {}
 func (Tick) isEvent()            {}
 
 // Upstream is the registry's entry of one upstream.
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/samphirebeam/samphirebeam/core"
 )
 
@@ -35,6 +37,11 @@
 	suspects int
 	restsTo  time.Time
 	heardAt  time.Time
+	// lostAt is when it last lost a request of this host, askAt when it is
+	// pinged for that, and pings counts those of a watching host without an
+	// answer.
+	lostAt, askAt time.Time
+	pings         int
 	// declines counts refusals in a row for want of confirmed news, until
 	// declinesTo it is asked only when all others declined as well.
 	declines   int
@@ -246,6 +253,9 @@
 		if far {
 			cost += farHandover
 		}
+		if e.fleet.silent(now, p) {
+			cost += silentHandover
+		}
 		if d := e.reach.byID[p.Domain]; d != nil && d.dark() {
 			cost += darkHandover
 		}
@@ -282,11 +292,12 @@
 	p := run.to
 	p.running--
 	if r.Outcome != Unreached && r.Outcome != Lost {
+		p.heardAt = now
 		e.heardFromDomain(now, p.Domain)
 	}
 	switch {
 	case r.Outcome == Succeeded || r.Outcome == Failed:
-		p.suspects, p.declines, p.heardAt = 0, 0, now
+		p.suspects, p.declines = 0, 0
 		if !h.repeated {
 			p.observeOverhead(now.Sub(h.arrived.At) - r.Took)
 		}
@@ -320,6 +331,8 @@
 	wait := min(suspectMost, suspectFirst<<min(p.suspects, 8))
 	p.suspects++
 	p.restsTo = now.Add(wait)
+	p.lostAt = now
+	e.askLater(now, p, wait)
 	e.note(Note{Decision: DecisionPeer, Upstream: core.UpstreamID(p.ID), Age: wait, Detail: r.Outcome.String() + ": " + r.Cause})
 }
 
@@ -354,3 +367,48 @@
 	}
 	h.runs = nil
 }
+
+// onlyUpstream returns the one upstream that may run a part of a request that
+// came from another host; nil is any.
+//
+// That host may ask a second one to run the request should this one fall
+// silent, and neither knows what upstreams the other asked. So that they keep to
+// the route's number of upstreams together, the second one asks none but the
+// part's designated upstream, which is among those of the first one by the time
+// that it has asked as many as it may.
+func (e *Engine) onlyUpstream(now time.Time, p *part) *upstream {
+	c := p.call
+	if !c.request.FromHost || !c.route.Repeatable || c.route.MaxUpstreams < 2 {
+		return nil
+	}
+	if len(e.directory.byService[p.service]) <= c.route.MaxUpstreams {
+		return nil // there are no more that could have been asked
+	}
+	if !c.request.Repeat && p.ran() < c.route.MaxUpstreams-1 {
+		return nil
+	}
+	designated := e.designated(p)
+	if designated == nil || c.request.Repeat {
+		return designated
+	}
+	gone := now.Before(designated.restsUntil) // it runs nothing for the second host either
+	if gone || slices.Contains(p.ranAt(), designated) {
+		return nil
+	}
+	return designated
+}
+
+// designated returns the same upstream of a part's service on each host that
+// knows the same ones.
+func (e *Engine) designated(p *part) (chosen *upstream) {
+	var best uint64
+	for _, u := range e.directory.byService[p.service] {
+		if !e.directory.mayTake(u) || !p.call.route.allows(e.options.Regions[u.Domain]) {
+			continue
+		}
+		if order := xxhash.Sum64String(p.call.request.RequestID + "\x00" + string(u.ID)); chosen == nil || order < best {
+			chosen, best = u, order
+		}
+	}
+	return chosen
+}
--- a/core/scatter/handover_test.go
+++ b/core/scatter/handover_test.go
@@ -250,3 +250,56 @@
 		}
 	})
 }
+
+// TestRepeatsKeepToTheRoutesUpstreams: however the first host's upstreams
+// behave, it and the host that runs the request once more ask no more upstreams
+// of a shard than the route allows.
+func TestRepeatsKeepToTheRoutesUpstreams(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		most := rapid.IntRange(2, 3).Draw(rt, "most")
+		copies := rapid.IntRange(2, 5).Draw(rt, "copies")
+		used := map[core.ServiceID]map[core.UpstreamID]bool{}
+		for _, host := range []core.HostID{"first", "second"} {
+			r := newRig(t)
+			r.options.Self = host
+			r.engine = scatter.New(r.options)
+			r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "first", Domain: "d1", Power: 1}, {ID: "second", Domain: "d1", Power: 1}}})
+			r.configure(1, 6)
+			gather := &scatter.Route{
+				Name: "gather", Host: "h.example", Prefix: gatherPath, Repeatable: true, Timeout: 800 * ms, Target: 100 * ms,
+				MaxUpstreams: most, TopRecords: 10, MinCoverage: 0.75,
+			}
+			services := map[core.ServiceID]scatter.Service{}
+			var upstreams []scatter.Upstream
+			for i := range 6 {
+				id := core.ServiceID(fmt.Sprintf("shard%02d", i))
+				gather.Shards = append(gather.Shards, id)
+				services[id] = scatter.Service{ID: id, Connections: 96}
+				for c := range copies {
+					upstreams = append(upstreams, scatter.Upstream{ID: core.UpstreamID(fmt.Sprint(id, "-", c)), Service: id, Domain: "d1", Address: "10.0.0.1:1", Slots: 2})
+				}
+			}
+			r.step(scatter.UpstreamsListed{Upstreams: upstreams})
+			r.step(scatter.ConfigSeen{Config: scatter.NewConfig(2, []*scatter.Route{gather}, services, scatter.CallerLimits{})})
+			r.warm(gatherPath, 5*ms)
+			r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+				after := rapid.SampledFrom([]time.Duration{5 * ms, 300 * ms}).Draw(rt, "after")
+				outcome := rapid.SampledFrom([]scatter.Outcome{scatter.Succeeded, scatter.Failed, scatter.Lost, scatter.NotExecuted}).Draw(rt, "outcome")
+				if outcome != scatter.NotExecuted {
+					if used[s.Target.Service] == nil {
+						used[s.Target.Service] = map[core.UpstreamID]bool{}
+					}
+					used[s.Target.Service][s.Target.ID] = true
+				}
+				return after, outcome
+			}
+			r.arrive(scatter.Arrived{Path: gatherPath, Budget: time.Second, FromHost: true, Repeat: host == "second"})
+			r.run(time.Second)
+		}
+		for service, upstreams := range used {
+			if len(upstreams) > most {
+				rt.Errorf("%s: %d upstreams were asked, the route allows %d", service, len(upstreams), most)
+			}
+		}
+	})
+}
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -100,10 +100,16 @@
 	peers  map[core.HostID]*peer
 	// gatherersIn counts the gatherers by failure domain.
 	gatherersIn map[core.DomainID]int
+	// followed says that other hosts follow this one.
+	followed bool
+	// words is what the hosts that this host follows say of silent ones, and
+	// silentSaid what this host says of them itself.
+	words      map[core.HostID]*silence
+	silentSaid []core.HostID
 }
 
 func newFleet(self core.HostID, domain core.DomainID) *fleet {
-	return &fleet{self: self, domain: domain, role: Gatherer, peers: map[core.HostID]*peer{}}
+	return &fleet{self: self, domain: domain, role: Gatherer, peers: map[core.HostID]*peer{}, words: map[core.HostID]*silence{}}
 }
 
 // set takes the hosts of the tier, and returns whether anything changed.
--- a/core/scatter/reach.go
+++ b/core/scatter/reach.go
@@ -193,15 +193,16 @@
 // cutOff says that this host reaches no other domain and is on the smaller side.
 func (r *reach) cutOff() bool { return r.minority && r.rounds > cutOffAfter }
 
-// watchDomains runs the watch once each contactEvery.
-func (e *Engine) watchDomains(now time.Time) {
+// watch looks for silent failure domains and hosts, once each contactEvery.
+func (e *Engine) watch(now time.Time) {
 	pings, dark := e.reach.watch(now)
 	e.out.Probes = append(e.out.Probes, pings...)
 	for _, d := range dark {
 		e.note(Note{Decision: DecisionDark, Detail: string(d.id), Age: now.Sub(d.heardAt), Attempt: d.missed})
 	}
 	e.decideWithdrawal(now)
-	e.timers.Add(now.Add(contactEvery), e.watchDomains)
+	e.watchHosts(now)
+	e.timers.Add(now.Add(contactEvery), e.watch)
 }
 
 // heardFromDomain notes that something came from a failure domain.
--- a/core/scatter/relay.go
+++ b/core/scatter/relay.go
@@ -72,7 +72,7 @@
 	least := math.Inf(1)
 	for _, h := range f.ranked[:f.gatherers()] {
 		p := f.peers[h.ID]
-		if p == nil || h.Domain != domain || now.Before(p.relay.restsTo) {
+		if p == nil || h.Domain != domain || now.Before(p.relay.restsTo) || f.silent(now, p) {
 			continue
 		}
 		if load := float64(p.relay.running) / max(p.Power, 0.01); load < least {
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -37,6 +37,7 @@
 	sentAt    []time.Time
 	handovers []scatter.Handover
 	cancels   []scatter.Cancel
+	silent    [][]core.HostID // what is told to followers
 	answers   map[core.CallID]scatter.Answer
 	answered  map[core.CallID]time.Time
 	notes     []scatter.Note
@@ -71,6 +72,9 @@
 	r.engine.Step(r.now, event, &out)
 	r.notes = append(r.notes, out.Notes...)
 	r.cancels = append(r.cancels, out.Cancels...)
+	if out.Silent != nil {
+		r.silent = append(r.silent, out.Silent.Hosts)
+	}
 	for _, a := range out.Answers {
 		if _, twice := r.answers[a.Call]; twice {
 			r.t.Errorf("call %d was answered twice", a.Call)
--- /dev/null
+++ b/core/scatter/silence_test.go
@@ -0,0 +1,135 @@
+package scatter_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// TestFollowedHostsTellOfSilentOnes: a host that others follow tells them of a
+// silent host within two seconds, and of its return; one that nobody follows
+// pings nobody for that.
+func TestFollowedHostsTellOfSilentOnes(t *testing.T) {
+	r := newRig(t)
+	hosts := []scatter.Host{{ID: "host-1", Domain: "d1", Power: 1}}
+	for i := range 40 {
+		hosts = append(hosts, scatter.Host{ID: core.HostID(fmt.Sprint("h", i)), Domain: "d1", Power: 1})
+	}
+	dead, pings := core.HostID(""), 0
+	r.probed = func(id core.HostID) {
+		pings++
+		if id != dead {
+			r.later.Add(r.now.Add(5*ms), func() { r.step(scatter.HostHeard{ID: id}) })
+		}
+	}
+	r.step(scatter.HostsSeen{Hosts: hosts})
+	r.run(2 * time.Second)
+	if pings > 0 {
+		t.Errorf("%d pings although nobody follows", pings)
+	}
+	r.step(scatter.Followed{ByOthers: true})
+	dead = r.engine.Ranked()[5].ID
+	r.run(2 * time.Second)
+	if len(r.silent) != 1 || !slices.Equal(r.silent[0], []core.HostID{dead}) {
+		t.Fatalf("told of %v, want %s", r.silent, dead)
+	}
+	before := pings
+	r.run(10 * time.Second)
+	if pings-before > 16*4*10 {
+		t.Errorf("%d pings in 10 s", pings-before)
+	}
+	dead = ""
+	r.run(time.Second)
+	if len(r.silent) != 2 || len(r.silent[1]) > 0 {
+		t.Errorf("after its return: told of %v", r.silent)
+	}
+}
+
+// TestSilentHostsAreTheLastResort: what a host says that watches silent ones
+// holds until it takes it back, says nothing any more, or the host is heard.
+func TestSilentHostsAreTheLastResort(t *testing.T) {
+	silent := scatter.HostsSilent{By: "reader", Hosts: []core.HostID{"strong-1"}}
+	for name, tt := range map[string]struct {
+		follows scatter.Event
+		after   time.Duration
+		want    core.HostID
+	}{
+		"told":            {nil, 0, "strong-2"},
+		"told anew":       {silent, time.Second, "strong-2"},
+		"taken back":      {scatter.HostsSilent{By: "reader"}, 0, "strong-1"},
+		"heard since":     {scatter.HostHeard{ID: "strong-1"}, 0, "strong-1"},
+		"told long since": {nil, 2 * time.Second, "strong-1"},
+		"both are silent": {scatter.HostsSilent{By: "other", Hosts: []core.HostID{"strong-1", "strong-2"}}, 0, "weak"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			weakHost(r)
+			r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return 5 * ms, scatter.Succeeded }
+			r.run(time.Second)
+			r.step(silent)
+			r.run(ms)
+			if tt.follows != nil {
+				r.step(tt.follows)
+			}
+			r.run(tt.after)
+			call := r.ask(gatherPath)
+			r.run(10 * ms)
+			if got := r.want(call, scatter.PassedOn).Payload.(string); got[:len(tt.want)] != string(tt.want) {
+				t.Errorf("answered by %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestHostsThatLostARequestHaveToAnswerFirst: no caller's request finds out
+// whether a host is back; pings do.
+func TestHostsThatLostARequestHaveToAnswerFirst(t *testing.T) {
+	r := newRig(t)
+	weakHost(r)
+	dead := map[core.HostID]bool{"strong-1": true}
+	r.peer = func(h scatter.Handover) (time.Duration, scatter.Outcome) {
+		if dead[h.To.ID] {
+			return 300 * ms, scatter.Lost
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	pings := 0
+	r.probed = func(id core.HostID) {
+		if id == "strong-1" {
+			pings++
+		}
+		if !dead[id] {
+			r.later.Add(r.now.Add(ms), func() { r.step(scatter.HostHeard{ID: id}) })
+		}
+	}
+	for range 200 {
+		r.ask(gatherPath)
+		r.run(50 * ms)
+	}
+	asked := func() (count int) {
+		for _, h := range r.handovers {
+			if h.To.ID == "strong-1" {
+				count++
+			}
+		}
+		return count
+	}
+	if got := asked(); got > 8 {
+		t.Errorf("%d requests found it silent in 10 s", got)
+	}
+	if pings == 0 || pings > 20 {
+		t.Errorf("%d pings in 10 s", pings)
+	}
+	clear(dead)
+	before := asked()
+	r.run(2500 * ms)
+	r.ask(gatherPath)
+	r.run(10 * ms)
+	if asked() == before {
+		t.Error("it is not asked although it answers pings")
+	}
+}
--- a/core/scatter/usual.go
+++ b/core/scatter/usual.go
@@ -49,4 +49,13 @@
 	return u
 }
 
-func joined(names []string) string { return strings.Join(names, ",") }
+func joined[T ~string](names []T) string {
+	var all strings.Builder
+	for i, name := range names {
+		if i > 0 {
+			all.WriteByte(',')
+		}
+		all.WriteString(string(name))
+	}
+	return all.String()
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -79,8 +79,11 @@
 	hosts   *hub
 	// firstStart says that all hosts start for the first time.
 	firstStart bool
-	// onHeard is told of each message of a host that is followed.
-	onHeard func(core.HostID)
+	// onHeard is told of each message of a host that is followed, onSilent of
+	// what it says of silent hosts.
+	onHeard  func(core.HostID)
+	onSilent func(scatter.HostsSilent)
+	silent   *silentHosts // that this host tells its followers of
 	// onReachable is told when the first feed is cut off, and when all are
 	// back.
 	onReachable func(bool)
@@ -88,13 +91,17 @@
 	sourced     int // feeds that have a source
 	current     atomic.Pointer[plan]
 
+	followersLock sync.Mutex
+	followers     int // streams of hosts that follow this one
+	onFollowers   func(any bool)
+
 	following  atomic.Int32 // streams that are up
 	lastFollow atomic.Int64 // when one was up last, in nanoseconds of the steady clock
 	started    time.Time
 }
 
 func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, errors *panics, self scatter.Host, seeds []string, deliver func(platform.News)) *registry {
-	r := &registry{objects: objects, peers: p, log: log, panics: errors, self: self, seeds: seeds, hubs: map[string]*hub{}, started: time.Now()}
+	r := &registry{objects: objects, peers: p, log: log, panics: errors, self: self, seeds: seeds, hubs: map[string]*hub{}, silent: newSilentHosts(), started: time.Now()}
 	logged := func(news platform.News) {
 		for _, problem := range news.Problems {
 			log.Warn().Str("event", "entry_ignored").AnErr("cause", problem).Msg("an entry names nothing to use")
@@ -184,6 +191,7 @@
 		silence.Reset(followSilence)
 		r.onHeard(reader.ID)
 		if message.Feed == "" {
+			r.onSilent(scatter.HostsSilent{By: reader.ID, Hosts: hostIDs(message.SilentHosts)})
 			continue
 		}
 		if err := r.take(message); err != nil {
@@ -220,6 +228,9 @@
 	for _, hub := range r.hubs {
 		hub.retell()
 	}
+	r.followersLock.Lock()
+	r.onFollowers(r.followers > 0)
+	r.followersLock.Unlock()
 	r.sourceLock.Lock()
 	defer r.sourceLock.Unlock()
 	r.onReachable(r.sourced == len(r.hubs))
@@ -240,6 +251,17 @@
 	}
 }
 
+// countFollower counts the hosts that follow this one.
+func (r *registry) countFollower(change int) {
+	r.followersLock.Lock()
+	defer r.followersLock.Unlock()
+	before := r.followers > 0
+	r.followers += change
+	if after := r.followers > 0; after != before {
+		r.onFollowers(after)
+	}
+}
+
 // readsStore says whether this host's own reading of the store works, for all
 // feeds.
 func (r *registry) readsStore() bool {
--- a/edge/host.go
+++ b/edge/host.go
@@ -99,6 +99,8 @@
 	h.registry.contact = place.Contact
 	h.registry.firstStart = place.FirstStart
 	h.registry.onHeard = func(id core.HostID) { h.offer(scatter.HostHeard{ID: id}) }
+	h.registry.onFollowers = func(any bool) { h.report(scatter.Followed{ByOthers: any}) }
+	h.registry.onSilent = func(word scatter.HostsSilent) { h.offer(word) }
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
 	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform, renew: h.renewCore}
@@ -213,6 +215,9 @@
 	for _, host := range actions.Probes {
 		h.probe(host)
 	}
+	if actions.Silent != nil {
+		h.registry.silent.set(actions.Silent.Hosts)
+	}
 	for _, answer := range actions.Answers {
 		h.front.answer(answer)
 	}
--- a/edge/ready_test.go
+++ b/edge/ready_test.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/standin/serverstub"
 )
 
@@ -39,3 +42,41 @@
 	r.hostIn("d2", "far-3", 1)
 	cutOff.waitReady(true)
 }
+
+// TestFollowersAreToldOfSilentHosts: a host that hands requests over learns from
+// the host that it follows which one is silent, and hands that one nothing.
+func TestFollowersAreToldOfSilentHosts(t *testing.T) {
+	t.Parallel()
+	r := twoShards(t)
+	strong := []*running{r.host("strong-1", 1), r.host("strong-2", 1), r.host("strong-3", 1)}
+	for i := range 4 {
+		r.host(fmt.Sprint("stands-by-", i), 0.1)
+	}
+	weak := r.host("weak", 0.1)
+	eventually(t, func() (err error) {
+		weak.decision.ask(func(e *scatter.Engine) {
+			if len(e.Ranked()) < 8 || weak.registry.following.Load() == 0 {
+				err = errors.New("it does not follow yet")
+			}
+		})
+		return err
+	})
+	strong[0].server.Stop()
+	eventually(t, func() error {
+		for _, reader := range strong[1:] {
+			if strings.Contains(reader.log.String(), `"event":"hosts_silent"`) {
+				return nil
+			}
+		}
+		return errors.New("not noticed")
+	})
+	time.Sleep(2 * heartbeatEvery)
+	for i := range 20 {
+		if got := weak.ask("GET", "/gather/", fmt.Sprint("id-", i), ""); got.status != http.StatusOK {
+			t.Errorf("got %d", got.status)
+		}
+	}
+	if strings.Contains(weak.log.String(), `"event":"host_rests"`) {
+		t.Error("a caller's request was handed to the silent host")
+	}
+}
--- a/edge/service.go
+++ b/edge/service.go
@@ -68,7 +68,9 @@
 		sources = append(sources, source{hub, subscriber})
 		go forwardUpdates(stream.Context(), subscriber, merged)
 	}
-	return sendUpdates(stream, merged, s.host.stopped)
+	s.host.registry.countFollower(1)
+	defer s.host.registry.countFollower(-1)
+	return s.sendUpdates(stream, merged)
 }
 
 // forwardUpdates merges a subscriber's updates with those of others until it is
@@ -87,16 +89,26 @@
 	}
 }
 
-func sendUpdates(stream grpc.ServerStreamingServer[edgepb.FeedUpdate], merged <-chan *edgepb.FeedUpdate, stopped <-chan struct{}) error {
+// sendUpdates sends a follower what the feeds bring, what hosts are silent and,
+// when there is nothing new, heartbeats.
+func (s *service) sendUpdates(stream grpc.ServerStreamingServer[edgepb.FeedUpdate], merged <-chan *edgepb.FeedUpdate) error {
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
+	if silent, _ := s.host.registry.silent.get(); len(silent) > 0 {
+		if err := stream.Send(&edgepb.FeedUpdate{SilentHosts: silent}); err != nil {
+			return err
+		}
+	}
 	for {
-		update := &edgepb.FeedUpdate{}
+		silent, changed := s.host.registry.silent.get()
+		update := &edgepb.FeedUpdate{SilentHosts: silent}
 		select {
 		case <-stream.Context().Done():
 			return stream.Context().Err()
-		case <-stopped:
+		case <-s.host.stopped:
 			return status.Error(codes.Unavailable, "this host stops")
+		case <-changed:
+			update.SilentHosts, _ = s.host.registry.silent.get()
 		case update = <-merged:
 			if update == nil {
 				return status.Error(codes.Unavailable, "this host does not read the store any more")
