Records of hosts that are gone for good are removed

Cause: hosts register when they start and nothing ever removed a record. At the target's replacements the first in rank, who gather, read the store and are followed, would in time all be names of machines that are gone.

Each host that reads the store counts who follows those that may be followed (core/scatter/census.go, pure): ten minutes absent, two hours while a host that should know is silent or more than 0.3 are absent together, anew after the store was away; one record in ten seconds, under its revision, after a last ping. A host that is not in the list registers again.

Ruled out: removal at a planned stop, since rolling restarts would move the roles of gatherers each time; a census by pings, which would need a connection to each host.

Tests: a table over hours of virtual time; with processes' parts, that a record goes and a living host's comes back.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -75,9 +75,7 @@
 	c := &call{id: a.Call, request: a, route: route, config: e.config}
 	budget := route.Timeout
 	if a.Budget > 0 {
-		// The answer has a way to go: one that leaves at the end of the caller's
-		// patience meets nobody.
-		budget = min(budget, max(a.Budget/2, a.Budget-e.options.AnswerMargin))
+		budget = min(budget, e.withWayBack(a.Budget))
 	}
 	c.deadline = a.At.Add(budget)
 	c.answerAt = a.At.Add(max(0, route.Target-e.options.AnswerMargin))
@@ -97,6 +95,12 @@
 	return c
 }
 
+// withWayBack is how much of a caller's patience there is until the answer has
+// to leave: one that leaves at its end meets nobody.
+func (e *Engine) withWayBack(patience time.Duration) time.Duration {
+	return max(patience/2, patience-e.options.AnswerMargin)
+}
+
 // target picks the service of a request that goes to one.
 func (e *Engine) target(route *Route) core.ServiceID {
 	if len(route.Targets) == 1 {
--- /dev/null
+++ b/core/scatter/census.go
@@ -0,0 +1,66 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// forgetAfter is how long a host has to be absent before its record is
+	// removed, and forgetInDoubtAfter while that may have another cause: a host
+	// that should know is silent, or more than absentShare of all hosts are
+	// absent together, as when regions are cut off from each other.
+	forgetAfter        = 10 * time.Minute
+	forgetInDoubtAfter = 2 * time.Hour
+	absentShare        = 0.3
+	// forgetEvery is the least time between two removals by one host.
+	forgetEvery = 10 * time.Second
+)
+
+// Census decides which hosts' records are removed from the store. Hosts register
+// when they start, and those that end for good remove nothing: without it the
+// first in rank would in time all be gone.
+//
+// Each host that reads the store counts by itself. A record is removed under
+// its revision, so that two that decide the same do no harm, and a host that is
+// there after all registers again.
+type Census struct {
+	absentSince map[core.HostID]time.Time
+	forgotAt    time.Time
+}
+
+// Doubt starts all counts anew, when this host may have missed hosts.
+func (c *Census) Doubt() { c.absentSince = nil }
+
+// Count takes the hosts that have a record and those that are present, and
+// returns the one to forget; false is none. Certain says that every host that
+// others may follow said who follows it.
+func (c *Census) Count(now time.Time, hosts []Host, present map[core.HostID]bool, certain bool) (forget Host, found bool) {
+	since := make(map[core.HostID]time.Time, len(c.absentSince))
+	for _, h := range hosts {
+		if present[h.ID] {
+			continue
+		}
+		if at, known := c.absentSince[h.ID]; known {
+			since[h.ID] = at
+		} else {
+			since[h.ID] = now
+		}
+	}
+	c.absentSince = since
+	after := forgetInDoubtAfter
+	if certain && float64(len(since)) <= absentShare*float64(len(hosts)) {
+		after = forgetAfter
+	}
+	if now.Sub(c.forgotAt) < forgetEvery {
+		return Host{}, false
+	}
+	for _, h := range hosts {
+		if at, absent := since[h.ID]; absent && now.Sub(at) >= after {
+			c.forgotAt = now
+			return h, true
+		}
+	}
+	return Host{}, false
+}
--- /dev/null
+++ b/core/scatter/census_test.go
@@ -0,0 +1,65 @@
+package scatter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+)
+
+// TestHostsThatAreGoneAreForgotten is the table of when a record is removed, of
+// hosts that are counted each ten seconds.
+func TestHostsThatAreGoneAreForgotten(t *testing.T) {
+	const minutes = time.Minute
+	for name, tt := range map[string]struct {
+		absent    int // of ten hosts
+		uncertain bool
+		returns   time.Duration // when they are present again; zero is never
+		doubt     time.Duration // when the store is away; zero is never
+		runs      time.Duration
+		forgotten int
+	}{
+		"all are present":             {0, false, 0, 0, 3 * time.Hour, 0},
+		"gone for a while":            {2, false, 9 * minutes, 0, time.Hour, 0},
+		"gone for good":               {2, false, 0, 0, 11 * minutes, 2},
+		"gone for good, not yet":      {2, false, 0, 0, 9 * minutes, 0},
+		"the store is away meanwhile": {2, false, 0, 9 * minutes, 18 * minutes, 0},
+		"and then there":              {2, false, 0, 9 * minutes, 20 * minutes, 2},
+		"half are gone":               {5, false, 0, 0, 110 * minutes, 0},
+		"half are gone for good":      {5, false, 0, 0, 130 * minutes, 5},
+		"one that knows is silent":    {1, true, 0, 0, 110 * minutes, 0},
+		"and stays silent":            {1, true, 0, 0, 130 * minutes, 1},
+		"regions apart for an hour":   {4, true, time.Hour, 0, 3 * time.Hour, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var census scatter.Census
+			hosts := make([]scatter.Host, 10)
+			for i := range hosts {
+				hosts[i].ID = core.HostID(fmt.Sprint("h", i))
+			}
+			forgotten := 0
+			for now := epoch; now.Sub(epoch) < tt.runs; now = now.Add(10 * time.Second) {
+				if tt.doubt > 0 && now.Sub(epoch) == tt.doubt {
+					census.Doubt()
+				}
+				present := map[core.HostID]bool{}
+				for i, h := range hosts {
+					present[h.ID] = i >= tt.absent || tt.returns > 0 && now.Sub(epoch) >= tt.returns
+				}
+				gone, found := census.Count(now, hosts[forgotten:], present, !tt.uncertain)
+				if !found {
+					continue
+				}
+				if gone.ID != hosts[forgotten].ID {
+					t.Fatalf("%s is forgotten", gone.ID)
+				}
+				forgotten++
+			}
+			if forgotten != tt.forgotten {
+				t.Errorf("%d hosts are forgotten, want %d", forgotten, tt.forgotten)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/edge/census_test.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/platform"
+)
+
+// TestRecordsOfHostsThatAreGoneAreRemoved: the record of a host that is absent
+// for long is removed, those of hosts that are there stay, and one of these that
+// is removed all the same comes back.
+func TestRecordsOfHostsThatAreGoneAreRemoved(t *testing.T) {
+	t.Parallel()
+	r := twoShards(t)
+	hosts := []*running{r.host("host-1", 1), r.host("host-2", 1), r.host("host-3", 1), r.host("host-4", 1), r.host("weak", 0.1)}
+	gone := scatter.Host{ID: "gone", Domain: "d1", Address: freeAddress(t), Power: 0.1}
+	if err := platform.RegisterHost(t.Context(), hosts[0].objects, gone); err != nil {
+		t.Fatal(err)
+	}
+	known := func(h *running, want int) error {
+		ranked := 0
+		h.decision.ask(func(e *scatter.Engine) { ranked = len(e.Ranked()) })
+		if ranked != want {
+			return fmt.Errorf("%s knows %d hosts, want %d", h.place.Host, ranked, want)
+		}
+		return nil
+	}
+	for _, h := range hosts {
+		eventually(t, func() error {
+			if h.registry.following.Load() == 0 && !h.registry.readsStore() {
+				return errors.New("it neither reads nor follows")
+			}
+			return known(h, len(hosts)+1)
+		})
+	}
+	time.Sleep(followSilence) // the streams settle
+	count := func(times ...time.Duration) {
+		for _, h := range hosts {
+			var census scatter.Census
+			for _, later := range times {
+				h.registry.count(t.Context(), &census, time.Now().Add(later))
+			}
+		}
+	}
+	// Others may follow one that does not answer: it takes long.
+	count(0, 11*time.Minute, 110*time.Minute)
+	for _, h := range hosts {
+		if err := known(h, len(hosts)+1); err != nil {
+			t.Error(err)
+		}
+	}
+	count(0, 11*time.Minute, 121*time.Minute)
+	for _, h := range hosts {
+		eventually(t, func() error { return known(h, len(hosts)) })
+	}
+	// A host that is there after all comes back.
+	r.store.Remove("samphirebeam-hosts", "weak")
+	eventually(t, func() error { return known(hosts[0], len(hosts)-1) })
+	eventually(t, func() error { return known(hosts[0], len(hosts)) })
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,9 +92,7 @@
 	sourced     int // feeds that have a source
 	current     atomic.Pointer[plan]
 
-	followersLock sync.Mutex
-	followers     int // streams of hosts that follow this one
-	onFollowers   func(any bool)
+	followers *followers
 
 	following  atomic.Int32 // streams that are up
 	lastFollow atomic.Int64 // when one was up last, in nanoseconds of the steady clock
@@ -101,7 +100,7 @@
 }
 
 func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, errors *panics, self scatter.Host, seeds []string, deliver func(platform.News)) *registry {
-	r := &registry{objects: objects, peers: p, log: log, panics: errors, self: self, seeds: seeds, hubs: map[string]*hub{}, silent: newSilentHosts(), started: time.Now()}
+	r := &registry{objects: objects, peers: p, log: log, panics: errors, self: self, seeds: seeds, hubs: map[string]*hub{}, silent: newSilentHosts(), followers: newFollowers(), started: time.Now()}
 	logged := func(news platform.News) {
 		for _, problem := range news.Problems {
 			log.Warn().Str("event", "entry_ignored").AnErr("cause", problem).Msg("an entry names nothing to use")
@@ -140,6 +139,7 @@
 	r.prime(ctx)
 	work := &registryWork{registry: r}
 	defer work.stopAll()
+	work.duties.Go(func() { r.takeCensus(ctx) })
 	ticker := time.NewTicker(superviseEvery)
 	defer ticker.Stop()
 	for {
@@ -178,7 +178,7 @@
 	defer cancel(nil)
 	silence := time.AfterFunc(followSilence, func() { cancel(eris.New("the stream is silent")) })
 	defer silence.Stop()
-	stream, err := client.Follow(ctx, &edgepb.FollowRequest{Feeds: feeds})
+	stream, err := client.Follow(ctx, &edgepb.FollowRequest{Feeds: feeds, Host: string(r.self.ID)})
 	if err != nil {
 		return eris.Wrap(err, "follow")
 	}
@@ -228,9 +228,7 @@
 	for _, hub := range r.hubs {
 		hub.retell()
 	}
-	r.followersLock.Lock()
-	r.onFollowers(r.followers > 0)
-	r.followersLock.Unlock()
+	r.followers.retell()
 	r.sourceLock.Lock()
 	defer r.sourceLock.Unlock()
 	r.onReachable(r.sourced == len(r.hubs))
@@ -251,17 +249,6 @@
 	}
 }
 
-// countFollower counts the hosts that follow this one.
-func (r *registry) countFollower(change int) {
-	r.followersLock.Lock()
-	defer r.followersLock.Unlock()
-	before := r.followers > 0
-	r.followers += change
-	if after := r.followers > 0; after != before {
-		r.onFollowers(after)
-	}
-}
-
 // readsStore says whether this host's own reading of the store works, for all
 // feeds.
 func (r *registry) readsStore() bool {
@@ -297,6 +284,7 @@
 	lastListed time.Time
 	lastAsked  time.Time
 	asking     atomic.Bool
+	missing    time.Time // since when this host is not in the list of hosts
 	duties     sync.WaitGroup
 }
 
@@ -323,6 +311,7 @@
 		w.readStore(ctx)
 	}
 	w.adjustFollowers(ctx, p)
+	w.registerAgain(ctx, p)
 	if p.active && time.Since(w.lastAsked) > askHostsEvery && !r.knowsAll() && w.asking.CompareAndSwap(false, true) {
 		w.lastAsked = time.Now()
 		w.duties.Go(func() {
@@ -345,6 +334,25 @@
 	}
 }
 
+// registerAgainAfter is how long a host may be missing in the list of hosts
+// before it registers again.
+const registerAgainAfter = 5 * time.Second
+
+// registerAgain stores this host's record again should it have been removed.
+func (w *registryWork) registerAgain(ctx context.Context, p *plan) {
+	listed := slices.ContainsFunc(p.ranked, func(h scatter.Host) bool { return h.ID == p.self.ID })
+	switch {
+	case listed || len(p.ranked) == 0:
+		w.missing = time.Time{}
+	case w.missing.IsZero():
+		w.missing = time.Now()
+	case time.Since(w.missing) > registerAgainAfter:
+		w.missing = time.Now()
+		w.registry.log.Warn().Str("event", "register_again").Msg("this host is not in the list of hosts")
+		w.duties.Go(func() { w.registry.register(ctx) })
+	}
+}
+
 // askHostsEvery is how often a host that misses a feed asks others for it, and
 // askedHosts how many of those that rank first, which know everything.
 const (
--- a/edge/host.go
+++ b/edge/host.go
@@ -99,7 +99,7 @@
 	h.registry.contact = place.Contact
 	h.registry.firstStart = place.FirstStart
 	h.registry.onHeard = func(id core.HostID) { h.offer(scatter.HostHeard{ID: id}) }
-	h.registry.onFollowers = func(any bool) { h.report(scatter.Followed{ByOthers: any}) }
+	h.registry.followers.onFollowed = func(followed bool) { h.report(scatter.Followed{ByOthers: followed}) }
 	h.registry.onSilent = func(word scatter.HostsSilent) { h.offer(word) }
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
--- a/edge/service.go
+++ b/edge/service.go
@@ -68,8 +68,8 @@
 		sources = append(sources, source{hub, subscriber})
 		go forwardUpdates(stream.Context(), subscriber, merged)
 	}
-	s.host.registry.countFollower(1)
-	defer s.host.registry.countFollower(-1)
+	s.host.registry.followers.add(r.Host, 1)
+	defer s.host.registry.followers.add(r.Host, -1)
 	return s.sendUpdates(stream, merged)
 }
 
@@ -137,6 +137,12 @@
 	return update, nil
 }
 
+// Followers implements edgepb.EdgeServer.
+func (s *service) Followers(context.Context, *edgepb.FollowersRequest) (*edgepb.FollowersReply, error) {
+	hosts, unnamed := s.host.registry.followers.list()
+	return &edgepb.FollowersReply{Hosts: hosts, Unnamed: int32(unnamed)}, nil
+}
+
 // Ping implements edgepb.EdgeServer. It passes through the decision duty, so that
 // a host whose decisions stand still is silent.
 func (s *service) Ping(context.Context, *edgepb.PingRequest) (*edgepb.PingReply, error) {
