Census: a host that is seen, or whose record stays, holds up no others

Found by reading: the first absent host that answered the last ping was tried each time, and no other one was forgotten. A test fails first. A designated upstream counts as gone only when it cannot be reached; words of hosts that are followed no more are dropped.

--- a/core/scatter/census.go
+++ b/core/scatter/census.go
@@ -33,6 +33,10 @@
 // Doubt starts all counts anew, when this host may have missed hosts.
 func (c *Census) Doubt() { c.absentSince = nil }
 
+// Seen starts the count of one host anew: it is there after all, or its record
+// could not be removed.
+func (c *Census) Seen(id core.HostID) { delete(c.absentSince, id) }
+
 // Count takes the hosts that have a record and those that are present, and
 // returns the one to forget; false is none. Certain says that every host that
 // others may follow said who follows it.
--- a/core/scatter/census_test.go
+++ b/core/scatter/census_test.go
@@ -9,6 +9,23 @@
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 )
 
+// TestHostsThatAreSeenHoldUpNoOthers: one that follows nobody but is there does
+// not keep others from being forgotten.
+func TestHostsThatAreSeenHoldUpNoOthers(t *testing.T) {
+	var census scatter.Census
+	hosts := []scatter.Host{{ID: "there"}, {ID: "gone"}, {ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
+	present := map[core.HostID]bool{"a": true, "b": true, "c": true, "d": true, "e": true}
+	for now := epoch; now.Sub(epoch) < 11*time.Minute; now = now.Add(10 * time.Second) {
+		switch h, found := census.Count(now, hosts, present, true); {
+		case found && h.ID == "gone":
+			return
+		case found:
+			census.Seen(h.ID)
+		}
+	}
+	t.Error("it is not forgotten")
+}
+
 // TestHostsThatAreGoneAreForgotten is the table of when a record is removed, of
 // hosts that are counted each ten seconds.
 func TestHostsThatAreGoneAreForgotten(t *testing.T) {
--- a/core/scatter/designated.go
+++ b/core/scatter/designated.go
@@ -30,8 +30,9 @@
 	if designated == nil || c.request.Repeat {
 		return designated
 	}
-	gone := now.Before(designated.restsUntil) // it runs nothing for the second host either
-	if gone || slices.Contains(p.ranAt(), designated) {
+	// One that cannot be reached runs nothing for the second host either.
+	unreached := now.Before(designated.restsUntil) && designated.lostInARow < lostBeforeBackoff
+	if unreached || slices.Contains(p.ranAt(), designated) {
 		return nil
 	}
 	return designated
--- a/core/scatter/silence.go
+++ b/core/scatter/silence.go
@@ -38,6 +38,7 @@
 		word.hosts[id] = true
 	}
 	before := e.fleet.words[event.By]
+	maps.DeleteFunc(e.fleet.words, func(_ core.HostID, old *silence) bool { return now.Sub(old.at) >= silenceHolds })
 	e.fleet.words[event.By] = word
 	if before == nil && len(word.hosts) > 0 || before != nil && !maps.Equal(before.hosts, word.hosts) {
 		e.note(Note{Decision: DecisionSilent, Upstream: core.UpstreamID(event.By), Parts: len(word.hosts), Detail: joined(event.Hosts)})
--- a/edge/census.go
+++ b/edge/census.go
@@ -83,9 +83,11 @@
 	attempt, cancel := context.WithTimeout(ctx, censusTimeout)
 	defer cancel()
 	if _, err := r.peers.ping(attempt, gone.Address); err == nil {
-		return // it is there, and follows nobody
+		census.Seen(gone.ID) // it follows nobody
+		return
 	}
 	if err := platform.ForgetHost(attempt, r.objects, gone); err != nil {
+		census.Seen(gone.ID)
 		r.log.Warn().Str("event", "forget_failed").Str("peer", string(gone.ID)).AnErr("cause", err).Msg("its record stays")
 		return
 	}
