--- a/edge/settings.go
+++ b/edge/settings.go
@@ -36,7 +36,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LogLevel:       "info",
-		AnswerMargin:   9 * time.Millisecond,
+		AnswerMargin:   12 * time.Millisecond,
 		RelayParts:     true,
 		AssumedHosts:   32,
 		MetricsPort:    7390,
