--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -162,7 +162,7 @@
 	DecisionSilent   Decision = "hosts_silent"
 	DecisionPoison   Decision = "request_quarantined"
 	DecisionDark     Decision = "failure_domain_silent"
-	DecisionLit      Decision = "failure_domain_heard"
+	DecisionHeard    Decision = "failure_domain_heard"
 	DecisionWithdraw Decision = "callers_turned_away"
 	DecisionReturn   Decision = "callers_taken_again"
 )
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -102,14 +102,14 @@
 	gatherersIn map[core.DomainID]int
 	// followed says that other hosts follow this one.
 	followed bool
-	// words is what the hosts that this host follows say of silent ones, and
-	// silentSaid what this host says of them itself.
-	words      map[core.HostID]*silence
-	silentSaid []core.HostID
+	// reports is what the hosts that this host follows say of silent ones, and
+	// reported what this host says of them itself.
+	reports  map[core.HostID]*silentReport
+	reported []core.HostID
 }
 
 func newFleet(self core.HostID, domain core.DomainID) *fleet {
-	return &fleet{self: self, domain: domain, role: Gatherer, peers: map[core.HostID]*peer{}, words: map[core.HostID]*silence{}}
+	return &fleet{self: self, domain: domain, role: Gatherer, peers: map[core.HostID]*peer{}, reports: map[core.HostID]*silentReport{}}
 }
 
 // set takes the hosts of the tier, and returns whether anything changed.
--- a/core/scatter/reach.go
+++ b/core/scatter/reach.go
@@ -34,9 +34,9 @@
 	// served; above withdrawAbove a host that is cut off takes no callers.
 	unservedGain  = 0.2
 	withdrawAbove = 0.5
-	// wordHolds is how long it counts that a host of the own domain takes no
+	// reportHolds is how long it counts that a host of the own domain takes no
 	// callers.
-	wordHolds = time.Second
+	reportHolds = time.Second
 )
 
 // reach is what this host believes of its ways to the other failure domains.
@@ -208,7 +208,7 @@
 // heardFromDomain notes that something came from a failure domain.
 func (e *Engine) heardFromDomain(now time.Time, id core.DomainID) {
 	if e.reach.heard(now, id) {
-		e.note(Note{Decision: DecisionLit, Detail: string(id)})
+		e.note(Note{Decision: DecisionHeard, Detail: string(id)})
 	}
 	if e.withdrawn {
 		e.decideWithdrawal(now)
@@ -225,13 +225,13 @@
 }
 
 // servesNobody says that this host cannot serve most requests: by what became of
-// the last ones or, at a host that hands requests over, by the word of a host
+// the last ones or, at a host that hands requests over, by the report of a host
 // that gathers in its domain, or because there is none.
 func (e *Engine) servesNobody(now time.Time) bool {
 	if e.unserved > withdrawAbove {
 		return true
 	}
-	return e.reach.entry && (len(e.reach.near) == 0 || now.Sub(e.reach.nearWithdrawnAt) < wordHolds)
+	return e.reach.entry && (len(e.reach.near) == 0 || now.Sub(e.reach.nearWithdrawnAt) < reportHolds)
 }
 
 // conclude learns from the end of a caller's request.
--- a/core/scatter/silence.go
+++ b/core/scatter/silence.go
@@ -17,31 +17,31 @@
 	// silentAfterPings pings in a row without an answer make a host silent to
 	// the host that watches it.
 	silentAfterPings = 2
-	// silenceHolds is how long the word of a host about silent ones counts. It
+	// silentReportHolds is how long the report of a host about silent ones counts. It
 	// repeats it with each heartbeat.
-	silenceHolds = 1500 * time.Millisecond
+	silentReportHolds = 1500 * time.Millisecond
 	// silentHandover is what a silent host costs: it is asked only when no other
 	// is left.
 	silentHandover = 4000
 )
 
-// silence is what a host said of others.
-type silence struct {
+// silentReport is what a host said of others.
+type silentReport struct {
 	at    time.Time
 	hosts map[core.HostID]bool
 }
 
-// silentHosts takes a host's word about silent ones.
+// silentHosts takes a host's report about silent ones.
 func (e *Engine) silentHosts(now time.Time, event HostsSilent) {
-	word := &silence{at: now, hosts: make(map[core.HostID]bool, len(event.Hosts))}
+	report := &silentReport{at: now, hosts: make(map[core.HostID]bool, len(event.Hosts))}
 	for _, id := range event.Hosts {
-		word.hosts[id] = true
+		report.hosts[id] = true
 	}
-	before := e.fleet.words[event.By]
-	maps.DeleteFunc(e.fleet.words, func(_ core.HostID, old *silence) bool { return now.Sub(old.at) >= silenceHolds })
-	e.fleet.words[event.By] = word
-	if before == nil && len(word.hosts) > 0 || before != nil && !maps.Equal(before.hosts, word.hosts) {
-		e.note(Note{Decision: DecisionSilent, Upstream: core.UpstreamID(event.By), Parts: len(word.hosts), Detail: joined(event.Hosts)})
+	before := e.fleet.reports[event.By]
+	maps.DeleteFunc(e.fleet.reports, func(_ core.HostID, old *silentReport) bool { return now.Sub(old.at) >= silentReportHolds })
+	e.fleet.reports[event.By] = report
+	if before == nil && len(report.hosts) > 0 || before != nil && !maps.Equal(before.hosts, report.hosts) {
+		e.note(Note{Decision: DecisionSilent, Upstream: core.UpstreamID(event.By), Parts: len(report.hosts), Detail: joined(event.Hosts)})
 	}
 }
 
@@ -49,8 +49,8 @@
 // nothing that would grow old.
 func (e *Engine) followed(byOthers bool) {
 	e.fleet.followed = byOthers
-	if !byOthers && len(e.fleet.silentSaid) > 0 {
-		e.fleet.silentSaid, e.out.Silent = nil, &SilentHosts{}
+	if !byOthers && len(e.fleet.reported) > 0 {
+		e.fleet.reported, e.out.Silent = nil, &SilentHosts{}
 	}
 }
 
@@ -60,8 +60,8 @@
 	if p.lostAt.After(p.lastHeard()) {
 		return true
 	}
-	for _, word := range f.words {
-		if word.hosts[p.ID] && now.Sub(word.at) < silenceHolds && p.lastHeard().Before(word.at) {
+	for _, report := range f.reports {
+		if report.hosts[p.ID] && now.Sub(report.at) < silentReportHolds && p.lastHeard().Before(report.at) {
 			return true
 		}
 	}
@@ -90,8 +90,8 @@
 		p.pings++
 		e.out.Probes = append(e.out.Probes, p.Host)
 	}
-	if !slices.Equal(silent, e.fleet.silentSaid) {
-		e.fleet.silentSaid = silent
+	if !slices.Equal(silent, e.fleet.reported) {
+		e.fleet.reported = silent
 		e.out.Silent = &SilentHosts{Hosts: silent}
 		e.note(Note{Decision: DecisionSilent, Parts: len(silent), Detail: joined(silent)})
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -100,7 +100,7 @@
 	h.registry.firstStart = place.FirstStart
 	h.registry.onHeard = func(id core.HostID) { h.offer(scatter.HostHeard{ID: id}) }
 	h.registry.followers.onFollowed = func(followed bool) { h.report(scatter.Followed{ByOthers: followed}) }
-	h.registry.onSilent = func(word scatter.HostsSilent) { h.offer(word) }
+	h.registry.onSilent = func(report scatter.HostsSilent) { h.offer(report) }
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
 	h.server = newPeerServer(h)
 	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform, renew: h.renewCore}
