Tests: three checks that fail beside load say what they mean

What is counted is looked at within the time. - TestFollowersAreToldOfSilentHosts took the rest of any host for that of the silent one (strong-2 did not answer for 500 ms). It looks for the silent one's. - TestRequestAtAHostThatIsGoneRunsElsewhere: the first host had hedged (147 ms after the request, the test's stop came later than that): three runs on two servers, which the route allows. The test now holds the servers to two as well, which it did not before.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -391,6 +391,16 @@
 	}
 }
 
+// ranOn counts the servers that ran a request.
+func (r *rig) ranOn(id string) (count int) {
+	for _, s := range r.servers {
+		if n, _ := s.Runs(id); n > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // runs counts how often servers ran a request.
 func (r *rig) runs(id string) (count int) {
 	for _, s := range r.servers {
@@ -402,7 +412,8 @@
 
 // TestRequestAtAHostThatIsGoneRunsElsewhere: a host that hands requests over
 // loses the one that has them. What may run again is answered by another host,
-// what may not is answered 502 and runs once.
+// on no more servers than its route allows, what may not is answered 502 and
+// runs once.
 func TestRequestAtAHostThatIsGoneRunsElsewhere(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
@@ -446,7 +457,8 @@
 	for _, tt := range []struct {
 		path         string
 		status, runs int
-	}{{"/fetch/x", http.StatusOK, 2}, {"/order/x", http.StatusBadGateway, 1}} {
+		most         int // runs, should the first host have hedged
+	}{{"/fetch/x", http.StatusOK, 2, 3}, {"/order/x", http.StatusBadGateway, 1, 1}} {
 		got := make(chan reply, 1)
 		go func() { got <- weak.ask("GET", tt.path, tt.path, "") }()
 		has := holder()
@@ -458,8 +470,11 @@
 		})
 		has.server.Stop() // breaks its connections to other hosts
 		answer := <-got
-		if runs := r.runs(tt.path); answer.status != tt.status || runs != tt.runs {
+		if runs := r.runs(tt.path); answer.status != tt.status || runs < tt.runs || runs > tt.most {
 			t.Errorf("%s: got %d after %d runs, want %d after %d", tt.path, answer.status, runs, tt.status, tt.runs)
 		}
+		if ran := r.ranOn(tt.path); ran > tt.runs {
+			t.Errorf("%s: it ran on %d servers, want %d", tt.path, ran, tt.runs)
+		}
 	}
 }
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -113,12 +113,17 @@
 		h.ask("GET", "/fetch/", fmt.Sprint("before-", i), "")
 	}
 	told, before := time.Now(), busy.Arrived()
+	after := before
 	for i := 0; time.Since(told) < 1400*time.Millisecond; i++ {
 		if got := h.ask("GET", "/fetch/", fmt.Sprint("id-", i), ""); got.status != http.StatusOK {
 			t.Errorf("got %d", got.status)
 		}
+		// The last request may end, and be hedged, after the time is over.
+		if now := busy.Arrived(); time.Since(told) < 1400*time.Millisecond {
+			after = now
+		}
 	}
-	if after := busy.Arrived(); after != before {
+	if after != before {
 		t.Errorf("%d requests reached it within the time", after-before)
 	}
 }
--- a/edge/ready_test.go
+++ b/edge/ready_test.go
@@ -76,7 +76,7 @@
 			t.Errorf("got %d", got.status)
 		}
 	}
-	if strings.Contains(weak.log.String(), `"event":"host_rests"`) {
+	if strings.Contains(weak.log.String(), `"event":"host_rests","upstream":"strong-1"`) {
 		t.Error("a caller's request was handed to the silent host")
 	}
 }
