--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -229,7 +229,7 @@
 	p.waiting = false
 	e.attempts[a.id] = a
 	e.stats.Sends++
-	e.reach.sent(now, u.Domain)
+	e.contacts.sent(now, u.Domain)
 	e.queue(p.service).begin()
 	send := Send{
 		Attempt:     a.id,
@@ -434,7 +434,7 @@
 		}
 	}
 	left := time.Duration(maxRetryOfLeft * float64(c.deadline.Sub(now)))
-	if e.reach.cutOff() {
+	if e.contacts.cutOff() {
 		return max(0, left) // callers reach another failure domain after seconds
 	}
 	return max(0, min(wait, left))
--- a/core/scatter/reach.go
+++ b/core/scatter/contacts.go
@@ -39,13 +39,13 @@
 	reportHolds = time.Second
 )
 
-// reach is what this host believes of its ways to the other failure domains.
+// contacts is what this host believes of its ways to the other failure domains.
 // Whatever comes from a domain's hosts or upstreams shows that the way is
 // there; while nothing comes, hosts are pinged.
-type reach struct {
-	domains []*domainReach // of other hosts, in this host's own order
-	of      map[core.HostID]*domainReach
-	byID    map[core.DomainID]*domainReach
+type contacts struct {
+	domains []*domainContact // of other hosts, in this host's own order
+	of      map[core.HostID]*domainContact
+	byID    map[core.DomainID]*domainContact
 	// near are the hosts of this host's own domain that may gather.
 	near []Host
 	// entry hosts watch the other domains as a whole.
@@ -62,8 +62,8 @@
 	nearWithdrawnAt time.Time
 }
 
-// domainReach is one failure domain with hosts of the tier.
-type domainReach struct {
+// domainContact is one failure domain with hosts of the tier.
+type domainContact struct {
 	id        core.DomainID
 	hosts     []Host // the first in this host's own order
 	next      int    // the host to ping
@@ -74,16 +74,16 @@
 	sentAt    time.Time // the first send since the domain was heard
 }
 
-func (d *domainReach) dark() bool { return !d.darkSince.IsZero() }
+func (d *domainContact) dark() bool { return !d.darkSince.IsZero() }
 
 // silent says that neither the hosts nor the upstreams of a domain answer. The
 // hosts alone may be gone for another reason.
-func (d *domainReach) silent(now time.Time) bool {
+func (d *domainContact) silent(now time.Time) bool {
 	return d.dark() && !d.sentAt.IsZero() && now.Sub(d.sentAt) >= contactEvery
 }
 
 // ping returns the host of the domain whose turn it is.
-func (d *domainReach) ping() Host {
+func (d *domainContact) ping() Host {
 	if d.asked {
 		d.next++
 	}
@@ -93,9 +93,9 @@
 
 // set takes the hosts of the tier, those of the own domain that may gather, and
 // whether this host is an entry host. What is believed of a domain stays.
-func (r *reach) set(now time.Time, self Host, hosts, near []Host, entry bool) {
+func (r *contacts) set(now time.Time, self Host, hosts, near []Host, entry bool) {
 	before := r.byID
-	r.domains, r.of, r.byID = nil, map[core.HostID]*domainReach{}, map[core.DomainID]*domainReach{}
+	r.domains, r.of, r.byID = nil, map[core.HostID]*domainContact{}, map[core.DomainID]*domainContact{}
 	r.near, r.entry = near, entry
 	if r.heardAt.IsZero() {
 		r.heardAt = now
@@ -109,7 +109,7 @@
 		first = min(first, h.Domain)
 		d := r.byID[h.Domain]
 		if d == nil {
-			d = &domainReach{id: h.Domain, heardAt: now}
+			d = &domainContact{id: h.Domain, heardAt: now}
 			if known := before[h.Domain]; known != nil {
 				*d = *known
 				d.hosts = nil
@@ -123,7 +123,7 @@
 	r.minority = 2*own < len(hosts) || 2*own == len(hosts) && first != self.Domain
 	// Hosts that all ask in the same order would all ask the same few.
 	mine := func(name string) uint64 { return rendezvous(self.ID, core.UpstreamID(name)) }
-	slices.SortFunc(r.domains, func(a, b *domainReach) int { return cmp.Compare(mine(string(a.id)), mine(string(b.id))) })
+	slices.SortFunc(r.domains, func(a, b *domainContact) int { return cmp.Compare(mine(string(a.id)), mine(string(b.id))) })
 	for _, d := range r.domains {
 		slices.SortFunc(d.hosts, func(a, b Host) int { return cmp.Compare(mine(string(a.ID)), mine(string(b.ID))) })
 		d.hosts = d.hosts[:min(len(d.hosts), pingedHosts)]
@@ -131,7 +131,7 @@
 }
 
 // heard notes that something came from a domain. True means that it was dark.
-func (r *reach) heard(now time.Time, id core.DomainID) bool {
+func (r *contacts) heard(now time.Time, id core.DomainID) bool {
 	d := r.byID[id]
 	if d == nil {
 		return false
@@ -143,7 +143,7 @@
 }
 
 // sent notes a send to an upstream of a domain.
-func (r *reach) sent(now time.Time, id core.DomainID) {
+func (r *contacts) sent(now time.Time, id core.DomainID) {
 	if d := r.byID[id]; d != nil && d.sentAt.IsZero() {
 		d.sentAt = now
 	}
@@ -151,7 +151,7 @@
 
 // watch returns the hosts to ping, and the domains that have just become dark.
 // It runs once each contactEvery.
-func (r *reach) watch(now time.Time) (pings []Host, dark []*domainReach) {
+func (r *contacts) watch(now time.Time) (pings []Host, dark []*domainContact) {
 	switch {
 	case !r.entry:
 		pings, dark = r.watchEach(now)
@@ -173,7 +173,7 @@
 }
 
 // watchEach pings each silent domain.
-func (r *reach) watchEach(now time.Time) (pings []Host, dark []*domainReach) {
+func (r *contacts) watchEach(now time.Time) (pings []Host, dark []*domainContact) {
 	for _, d := range r.domains {
 		if now.Sub(d.heardAt) < contactEvery {
 			continue
@@ -191,11 +191,11 @@
 }
 
 // cutOff says that this host reaches no other domain and is on the smaller side.
-func (r *reach) cutOff() bool { return r.minority && r.rounds > cutOffAfter }
+func (r *contacts) cutOff() bool { return r.minority && r.rounds > cutOffAfter }
 
 // watch looks for silent failure domains and hosts, once each contactEvery.
 func (e *Engine) watch(now time.Time) {
-	pings, dark := e.reach.watch(now)
+	pings, dark := e.contacts.watch(now)
 	e.out.Probes = append(e.out.Probes, pings...)
 	for _, d := range dark {
 		e.note(Note{Decision: DecisionDark, Detail: string(d.id), Age: now.Sub(d.heardAt), Attempt: d.missed})
@@ -207,7 +207,7 @@
 
 // heardFromDomain notes that something came from a failure domain.
 func (e *Engine) heardFromDomain(now time.Time, id core.DomainID) {
-	if e.reach.heard(now, id) {
+	if e.contacts.heard(now, id) {
 		e.note(Note{Decision: DecisionHeard, Detail: string(id)})
 	}
 	if e.withdrawn {
@@ -218,7 +218,7 @@
 // reaches says whether a call's parts may be sent to a failure domain.
 func (e *Engine) reaches(now time.Time, c *call) func(core.DomainID) bool {
 	return func(id core.DomainID) bool {
-		d := e.reach.byID[id]
+		d := e.contacts.byID[id]
 		trial := c.route.Repeatable && d != nil && now.Sub(d.darkSince)%trialEvery < trialFor
 		return d == nil || trial || !d.silent(now)
 	}
@@ -231,7 +231,7 @@
 	if e.unserved > withdrawAbove {
 		return true
 	}
-	return e.reach.entry && (len(e.reach.near) == 0 || now.Sub(e.reach.nearWithdrawnAt) < reportHolds)
+	return e.contacts.entry && (len(e.contacts.near) == 0 || now.Sub(e.contacts.nearWithdrawnAt) < reportHolds)
 }
 
 // conclude learns from the end of a caller's request.
@@ -253,13 +253,13 @@
 // or upstreams that are gone, does not cut hosts off from each other, and
 // withdraws none.
 func (e *Engine) decideWithdrawal(now time.Time) {
-	cutOff := e.reach.cutOff()
+	cutOff := e.contacts.cutOff()
 	switch {
 	case e.withdrawn && !cutOff:
 		e.withdrawn = false
 		e.note(Note{Decision: DecisionReturn, Detail: "another failure domain is heard"})
 	case !e.withdrawn && cutOff && e.servesNobody(now):
 		e.withdrawn = true
-		e.note(Note{Decision: DecisionWithdraw, Detail: "cut off from the other failure domains", Age: now.Sub(e.reach.heardAt)})
+		e.note(Note{Decision: DecisionWithdraw, Detail: "cut off from the other failure domains", Age: now.Sub(e.contacts.heardAt)})
 	}
 }
--- a/core/scatter/reach_test.go
+++ b/core/scatter/contacts_test.go
@@ -9,15 +9,15 @@
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 )
 
-// reachRig is a rig in the failure domain d1 of three, with some hosts in each.
+// contactsRig is a rig in the failure domain d1 of three, with some hosts in each.
 // Upstreams and hosts of the domains in cut answer nothing; gathers need d2.
-type reachRig struct {
+type contactsRig struct {
 	*rig
 	cut map[core.DomainID]bool
 }
 
-func newReachRig(t *testing.T, near, others int) *reachRig {
-	r := &reachRig{rig: newRig(t), cut: map[core.DomainID]bool{}}
+func newContactsRig(t *testing.T, near, others int) *contactsRig {
+	r := &contactsRig{rig: newRig(t), cut: map[core.DomainID]bool{}}
 	hosts := []scatter.Host{{ID: "host-1", Domain: "d1", Power: 1}}
 	for i := range near - 1 {
 		hosts = append(hosts, scatter.Host{ID: core.HostID(fmt.Sprint("near-", i)), Domain: "d1", Power: 1})
@@ -47,7 +47,7 @@
 }
 
 // away removes the upstreams of a suffix.
-func (r *reachRig) away(suffix string) {
+func (r *contactsRig) away(suffix string) {
 	for _, service := range []string{"shard00", "shard01", "shard02", "shard03", "files", "orders"} {
 		r.step(scatter.UpstreamRemoved{ID: core.UpstreamID(service + "-" + suffix)})
 		r.run(2 * time.Second) // removals that come together are not believed at once
@@ -55,7 +55,7 @@
 }
 
 // traffic asks for something each 20 ms.
-func (r *reachRig) traffic(d time.Duration, paths ...string) {
+func (r *contactsRig) traffic(d time.Duration, paths ...string) {
 	for end, i := r.now.Add(d), 0; r.now.Before(end); i++ {
 		r.ask(paths[i%len(paths)])
 		r.run(20 * ms)
@@ -68,20 +68,20 @@
 	for name, tt := range map[string]struct {
 		near, others int // hosts in this domain and in each other one
 		alone        bool
-		breaks       func(r *reachRig)
+		breaks       func(r *contactsRig)
 		want         bool
 	}{
-		"its domain is cut off":             {1, 2, false, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, true},
-		"half of two is cut off, not first": {1, 1, false, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, true},
-		"cut off, but served from here":     {1, 2, true, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, false},
-		"the others are cut off":            {6, 1, false, func(r *reachRig) { r.cut["d2"], r.cut["d3"] = true, true }, false},
-		"another domain is lost":            {1, 2, false, func(r *reachRig) { r.cut["d2"] = true }, false},
-		"the store is away":                 {1, 2, false, func(r *reachRig) { r.step(scatter.StoreReachable{}) }, false},
-		"all upstreams are gone for good":   {1, 2, false, func(r *reachRig) { r.away("b") }, false},
-		"nothing is broken":                 {1, 2, false, func(*reachRig) {}, false},
+		"its domain is cut off":             {1, 2, false, func(r *contactsRig) { r.cut["d2"], r.cut["d3"] = true, true }, true},
+		"half of two is cut off, not first": {1, 1, false, func(r *contactsRig) { r.cut["d2"], r.cut["d3"] = true, true }, true},
+		"cut off, but served from here":     {1, 2, true, func(r *contactsRig) { r.cut["d2"], r.cut["d3"] = true, true }, false},
+		"the others are cut off":            {6, 1, false, func(r *contactsRig) { r.cut["d2"], r.cut["d3"] = true, true }, false},
+		"another domain is lost":            {1, 2, false, func(r *contactsRig) { r.cut["d2"] = true }, false},
+		"the store is away":                 {1, 2, false, func(r *contactsRig) { r.step(scatter.StoreReachable{}) }, false},
+		"all upstreams are gone for good":   {1, 2, false, func(r *contactsRig) { r.away("b") }, false},
+		"nothing is broken":                 {1, 2, false, func(*contactsRig) {}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newReachRig(t, tt.near, tt.others)
+			r := newContactsRig(t, tt.near, tt.others)
 			if !tt.alone {
 				r.away("a")
 			}
@@ -105,7 +105,7 @@
 // run once is not sent there.
 func TestSilentDomainsAreLeftAlone(t *testing.T) {
 	for _, needed := range []bool{true, false} {
-		r := newReachRig(t, 1, 2)
+		r := newContactsRig(t, 1, 2)
 		if needed {
 			r.away("a")
 		}
@@ -138,7 +138,7 @@
 // TestHostsOfASilentDomainMayBeGone: upstreams of a domain whose hosts are all
 // gone are used on, also after they were silent themselves for a while.
 func TestHostsOfASilentDomainMayBeGone(t *testing.T) {
-	r := newReachRig(t, 1, 2)
+	r := newContactsRig(t, 1, 2)
 	r.away("a")
 	r.probed = nil
 	r.traffic(3*time.Second, gatherPath)
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -47,7 +47,7 @@
 	queues     map[core.ServiceID]*queue
 	questions  questions
 	admission  admission
-	reach      reach
+	contacts   contacts
 	watching   bool // the other failure domains
 	// unserved is about the share of the last requests that were not served;
 	// withdrawn says that this host takes no callers.
@@ -304,7 +304,7 @@
 		e.directory.hosts = append(e.directory.hosts, h.ID)
 	}
 	self := Host{ID: e.fleet.self, Domain: e.fleet.domain}
-	e.reach.set(now, self, e.fleet.ranked, e.fleet.near(), e.fleet.role == Entry)
+	e.contacts.set(now, self, e.fleet.ranked, e.fleet.near(), e.fleet.role == Entry)
 	if !e.watching {
 		e.watching = true
 		e.timers.Add(now.Add(contactEvery), e.watch)
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -197,11 +197,11 @@
 	if p := e.fleet.peers[h.ID]; p != nil {
 		p.heardAt = now
 		if h.Withdrawn && p.Domain == e.fleet.domain {
-			e.reach.nearWithdrawnAt = now
+			e.contacts.nearWithdrawnAt = now
 			e.decideWithdrawal(now)
 		}
 	}
-	if d := e.reach.of[h.ID]; d != nil {
+	if d := e.contacts.of[h.ID]; d != nil {
 		e.heardFromDomain(now, d.id)
 	}
 }
@@ -253,7 +253,7 @@
 		if e.fleet.silent(now, p) {
 			cost += silentHandover
 		}
-		if d := e.reach.byID[p.Domain]; d != nil && d.dark() {
+		if d := e.contacts.byID[p.Domain]; d != nil && d.dark() {
 			cost += darkHandover
 		}
 		if cost < bestCost {
