--- a/core/scatter/contacts.go
+++ b/core/scatter/contacts.go
@@ -93,12 +93,12 @@
 
 // set takes the hosts of the tier, those of the own domain that may gather, and
 // whether this host is an entry host. What is believed of a domain stays.
-func (r *contacts) set(now time.Time, self Host, hosts, near []Host, entry bool) {
-	before := r.byID
-	r.domains, r.of, r.byID = nil, map[core.HostID]*domainContact{}, map[core.DomainID]*domainContact{}
-	r.near, r.entry = near, entry
-	if r.heardAt.IsZero() {
-		r.heardAt = now
+func (c *contacts) set(now time.Time, self Host, hosts, near []Host, entry bool) {
+	before := c.byID
+	c.domains, c.of, c.byID = nil, map[core.HostID]*domainContact{}, map[core.DomainID]*domainContact{}
+	c.near, c.entry = near, entry
+	if c.heardAt.IsZero() {
+		c.heardAt = now
 	}
 	own, first := 0, self.Domain
 	for _, h := range hosts {
@@ -107,74 +107,74 @@
 			continue
 		}
 		first = min(first, h.Domain)
-		d := r.byID[h.Domain]
+		d := c.byID[h.Domain]
 		if d == nil {
 			d = &domainContact{id: h.Domain, heardAt: now}
 			if known := before[h.Domain]; known != nil {
 				*d = *known
 				d.hosts = nil
 			}
-			r.byID[h.Domain] = d
-			r.domains = append(r.domains, d)
+			c.byID[h.Domain] = d
+			c.domains = append(c.domains, d)
 		}
 		d.hosts = append(d.hosts, h)
-		r.of[h.ID] = d
+		c.of[h.ID] = d
 	}
-	r.minority = 2*own < len(hosts) || 2*own == len(hosts) && first != self.Domain
+	c.minority = 2*own < len(hosts) || 2*own == len(hosts) && first != self.Domain
 	// Hosts that all ask in the same order would all ask the same few.
 	mine := func(name string) uint64 { return rendezvous(self.ID, core.UpstreamID(name)) }
-	slices.SortFunc(r.domains, func(a, b *domainContact) int { return cmp.Compare(mine(string(a.id)), mine(string(b.id))) })
-	for _, d := range r.domains {
+	slices.SortFunc(c.domains, func(a, b *domainContact) int { return cmp.Compare(mine(string(a.id)), mine(string(b.id))) })
+	for _, d := range c.domains {
 		slices.SortFunc(d.hosts, func(a, b Host) int { return cmp.Compare(mine(string(a.ID)), mine(string(b.ID))) })
 		d.hosts = d.hosts[:min(len(d.hosts), pingedHosts)]
 	}
 }
 
 // heard notes that something came from a domain. True means that it was dark.
-func (r *contacts) heard(now time.Time, id core.DomainID) bool {
-	d := r.byID[id]
+func (c *contacts) heard(now time.Time, id core.DomainID) bool {
+	d := c.byID[id]
 	if d == nil {
 		return false
 	}
 	was := d.dark()
 	d.heardAt, d.asked, d.missed, d.darkSince, d.sentAt = now, false, 0, time.Time{}, time.Time{}
-	r.heardAt, r.rounds = now, 0
+	c.heardAt, c.rounds = now, 0
 	return was
 }
 
 // sent notes a send to an upstream of a domain.
-func (r *contacts) sent(now time.Time, id core.DomainID) {
-	if d := r.byID[id]; d != nil && d.sentAt.IsZero() {
+func (c *contacts) sent(now time.Time, id core.DomainID) {
+	if d := c.byID[id]; d != nil && d.sentAt.IsZero() {
 		d.sentAt = now
 	}
 }
 
 // watch returns the hosts to ping, and the domains that have just become dark.
 // It runs once each contactEvery.
-func (r *contacts) watch(now time.Time) (pings []Host, dark []*domainContact) {
+func (c *contacts) watch(now time.Time) (pings []Host, dark []*domainContact) {
 	switch {
-	case !r.entry:
-		pings, dark = r.watchEach(now)
-	case len(r.domains) > 0 && now.Sub(r.heardAt) >= entryQuiet:
-		if r.rounds > 0 {
-			r.turn += entryPings
+	case !c.entry:
+		pings, dark = c.watchEach(now)
+	case len(c.domains) > 0 && now.Sub(c.heardAt) >= entryQuiet:
+		if c.rounds > 0 {
+			c.turn += entryPings
 		}
 		for i := range entryPings {
-			pings = append(pings, r.domains[(r.turn+i)%len(r.domains)].ping())
+			pings = append(pings, c.domains[(c.turn+i)%len(c.domains)].ping())
 		}
 	}
 	if len(pings) > 0 {
-		r.rounds++
+		c.rounds++
 	}
-	if r.entry && r.cutOff() {
-		pings = append(pings, r.near[:min(len(r.near), entryPings)]...)
+	if c.entry && c.cutOff() {
+		pings = append(pings, c.near[:min(len(c.near), entryPings)]...)
 	}
 	return pings, dark
 }
 
 // watchEach pings each silent domain.
-func (r *contacts) watchEach(now time.Time) (pings []Host, dark []*domainContact) {
-	for _, d := range r.domains {
+func (c *contacts) watchEach(now time.Time) (pings []Host, dark []*domainContact) {
+	for _, d := range c.domains {
 		if now.Sub(d.heardAt) < contactEvery {
 			continue
 		}
@@ -191,7 +191,7 @@
 }
 
 // cutOff says that this host reaches no other domain and is on the smaller side.
-func (r *contacts) cutOff() bool { return r.minority && r.rounds > cutOffAfter }
+func (c *contacts) cutOff() bool { return c.minority && c.rounds > cutOffAfter }
 
 // watch looks for silent failure domains and hosts, once each contactEvery.
 func (e *Engine) watch(now time.Time) {
