A host that answers its pings at once is not silent

Trace: h2 reported h1, h3 and h4 as silent, so h1 used no relay and sent directly. Cause: the count of pings without an answer began anew only when a look fell within 250 ms after the answer. Looks are 250 ms apart and a little late, answers come within a millisecond: a sound host could be reported silent.

Now an answer since the last ping begins the count anew. A test in virtual time fails first (told of host-2) and passes.

Ruled out: the watch of failure domains, whose count ends with anything heard.

--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -36,10 +36,12 @@
 	restsTo  time.Time
 	heardAt  time.Time
 	// lostAt is when it last lost a request of this host, askAt when it is
-	// pinged for that, and pings counts those of a watching host without an
-	// answer.
+	// pinged for that.
 	lostAt, askAt time.Time
-	pings         int
+	// pings counts those of a watching host without an answer, the last one at
+	// pingedAt.
+	pings    int
+	pingedAt time.Time
 	// declines counts refusals in a row for want of confirmed news, until
 	// declinesTo it is asked only when all others declined as well.
 	declines   int
--- a/core/scatter/silence.go
+++ b/core/scatter/silence.go
@@ -80,14 +80,17 @@
 		if p == nil {
 			continue
 		}
-		if now.Sub(p.lastHeard()) < contactEvery {
+		if !p.lastHeard().Before(p.pingedAt) {
 			p.pings = 0
+		}
+		if now.Sub(p.lastHeard()) < contactEvery {
 			continue
 		}
 		if p.pings >= silentAfterPings {
 			silent = append(silent, p.ID)
 		}
 		p.pings++
+		p.pingedAt = now
 		e.out.Probes = append(e.out.Probes, p.Host)
 	}
 	if !slices.Equal(silent, e.fleet.reported) {
--- a/core/scatter/silence_test.go
+++ b/core/scatter/silence_test.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// TestHostsThatAnswerAtOnceAreNotSilent: an answer counts however soon after its
+// ping it comes, also when the next look is late.
+func TestHostsThatAnswerAtOnceAreNotSilent(t *testing.T) {
+	r := newRig(t)
+	r.probed = func(id core.HostID) { r.later.Add(r.now, func() { r.step(scatter.HostHeard{ID: id}) }) }
+	r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Power: 1}, {ID: "host-2", Domain: "d1", Power: 1}}})
+	r.step(scatter.Followed{ByOthers: true})
+	r.run(10 * time.Second)
+	if len(r.silent) > 0 {
+		t.Errorf("told of %v", r.silent)
+	}
+}
+
 // TestSilentHostsAreTheLastResort: what a host says that watches silent ones
 // holds until it takes it back, says nothing any more, or the host is heard.
 func TestSilentHostsAreTheLastResort(t *testing.T) {
