Logs name the question that a decision is about

Now attempt_failed, question_suspected, question_quarantined and request_quarantined carry the question's fingerprint and how many upstreams were lost under it, and three counters show them on the metrics address. No decision changes; what was logged as request_quarantined when a question became quarantined is question_quarantined now.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -124,6 +124,10 @@
 	Route     string
 	Service   core.ServiceID
 	Upstream  core.UpstreamID
+	// Question identifies what is asked, whoever asks it.
+	Question core.Fingerprint
+	// UpstreamsLost counts those that the question may have brought down.
+	UpstreamsLost int
 	// Attempt counts the upstreams asked for this part, from 1.
 	Attempt int
 	// Version is the configuration version that decided.
@@ -140,29 +144,31 @@
 
 // The decisions that are logged.
 const (
-	DecisionAnswer   Decision = "answer"
-	DecisionRefuse   Decision = "refuse"
-	DecisionHedge    Decision = "hedge"
-	DecisionRetry    Decision = "retry"
-	DecisionAttempt  Decision = "attempt_failed"
-	DecisionNoBudget Decision = "extra_send_denied"
-	DecisionSuspect  Decision = "upstream_suspected"
-	DecisionTrust    Decision = "upstream_trusted"
-	DecisionJoin     Decision = "upstream_joined"
-	DecisionDrain    Decision = "upstream_draining"
-	DecisionLeaving  Decision = "upstream_leaving"
-	DecisionWithheld Decision = "upstream_withheld"
-	DecisionRemove   Decision = "upstream_removed"
-	DecisionKeep     Decision = "upstream_kept_without_entry"
-	DecisionConfig   Decision = "config_in_force"
-	DecisionDomains  Decision = "domains_out"
-	DecisionHosts    Decision = "hosts_counted"
-	DecisionStore    Decision = "registry_reachable"
-	DecisionPeer     Decision = "host_rests"
-	DecisionSilent   Decision = "hosts_silent"
-	DecisionPoison   Decision = "request_quarantined"
-	DecisionDark     Decision = "failure_domain_silent"
-	DecisionHeard    Decision = "failure_domain_heard"
-	DecisionWithdraw Decision = "callers_turned_away"
-	DecisionReturn   Decision = "callers_taken_again"
+	DecisionAnswer     Decision = "answer"
+	DecisionRefuse     Decision = "refuse"
+	DecisionHedge      Decision = "hedge"
+	DecisionRetry      Decision = "retry"
+	DecisionAttempt    Decision = "attempt_failed"
+	DecisionNoBudget   Decision = "extra_send_denied"
+	DecisionSuspect    Decision = "upstream_suspected"
+	DecisionTrust      Decision = "upstream_trusted"
+	DecisionJoin       Decision = "upstream_joined"
+	DecisionDrain      Decision = "upstream_draining"
+	DecisionLeaving    Decision = "upstream_leaving"
+	DecisionWithheld   Decision = "upstream_withheld"
+	DecisionRemove     Decision = "upstream_removed"
+	DecisionKeep       Decision = "upstream_kept_without_entry"
+	DecisionConfig     Decision = "config_in_force"
+	DecisionDomains    Decision = "domains_out"
+	DecisionHosts      Decision = "hosts_counted"
+	DecisionStore      Decision = "registry_reachable"
+	DecisionPeer       Decision = "host_rests"
+	DecisionSilent     Decision = "hosts_silent"
+	DecisionAccuse     Decision = "question_suspected"
+	DecisionQuarantine Decision = "question_quarantined"
+	DecisionBarred     Decision = "request_quarantined"
+	DecisionDark       Decision = "failure_domain_silent"
+	DecisionHeard      Decision = "failure_domain_heard"
+	DecisionWithdraw   Decision = "callers_turned_away"
+	DecisionReturn     Decision = "callers_taken_again"
 )
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -64,6 +64,7 @@
 	e.note(Note{
 		Decision: DecisionAttempt, RequestID: c.request.RequestID, Route: c.route.Name, Service: a.part.service, Upstream: a.to.ID,
 		Attempt: a.part.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: r.Outcome.String() + ": " + r.Cause,
+		Question: c.request.Question,
 	})
 }
 
@@ -114,9 +115,7 @@
 		}
 		u.rest(now)
 		e.suspect(u, r)
-		if count := e.questions.unreached(now, u.ID); count > 0 {
-			e.note(Note{Decision: DecisionPoison, Service: u.Service, Upstream: u.ID, Parts: count, Version: e.Version()})
-		}
+		e.noteAccused(u, e.questions.unreached(now, u.ID))
 	case Lost:
 		e.learnLost(now, a, r, ratio)
 	}
@@ -140,6 +139,23 @@
 	}
 }
 
+// noteAccused logs the questions that may have brought an upstream down.
+func (e *Engine) noteAccused(u *upstream, accused []accusation) {
+	for _, a := range accused {
+		note := Note{
+			Decision: DecisionAccuse, Question: a.question, Service: u.Service, Upstream: u.ID, UpstreamsLost: a.upstreams,
+			Version: e.Version(), Age: a.lostFor,
+		}
+		e.stats.Accused++
+		e.note(note)
+		if a.upstreams == quarantineAfter {
+			note.Decision = DecisionQuarantine
+			e.stats.Quarantined++
+			e.note(note)
+		}
+	}
+}
+
 func (e *Engine) suspect(u *upstream, r Replied) {
 	e.note(Note{Decision: DecisionSuspect, Upstream: u.ID, Service: u.Service, Detail: r.Outcome.String() + ": " + r.Cause})
 }
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -51,7 +51,8 @@
 		}
 	}
 	if e.questions.quarantined(now, a.Question) {
-		e.note(Note{Decision: DecisionPoison, RequestID: a.RequestID, Route: route.Name, Version: c.config.Version})
+		e.stats.QuarantineRefused++
+		e.note(Note{Decision: DecisionBarred, RequestID: a.RequestID, Question: a.Question, Route: route.Name, Version: c.config.Version})
 		e.refuse(now, c, "the question broke several upstreams")
 		return
 	}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -62,6 +62,9 @@
 type Stats struct {
 	Requests, Answered, Gathered, Refused, Failed, TimedOut, NoRoute         uint64
 	Sends, Relayed, Hedges, Retries, ExtraDenied, Late, Partial, CallersGone uint64
+	// Accused counts upstreams that questions may have brought down, Quarantined
+	// the questions, QuarantineRefused the requests refused for them.
+	Accused, Quarantined, QuarantineRefused uint64
 }
 
 // firing runs when a timer is due.
--- a/core/scatter/question.go
+++ b/core/scatter/question.go
@@ -53,20 +53,27 @@
 	q.losses[at] = recent
 }
 
+// accusation is a question that may have brought one more upstream down.
+type accusation struct {
+	question core.Fingerprint
+	// upstreams counts those that it may have brought down.
+	upstreams int
+	lostFor   time.Duration // since its answer was lost there
+}
+
 // unreached notes that an upstream cannot be reached: what was lost there just
-// before may have brought it down. It returns how many questions are
-// quarantined for it.
-func (q *questions) unreached(now time.Time, at core.UpstreamID) (quarantined int) {
+// before may have brought it down.
+func (q *questions) unreached(now time.Time, at core.UpstreamID) (accused []accusation) {
 	for _, l := range q.losses[at] {
 		if now.Sub(l.at) <= crashWindow && q.accuse(now, l.question, at) {
-			quarantined++
+			accused = append(accused, accusation{l.question, len(q.suspects[l.question].broughtDown), now.Sub(l.at)})
 		}
 	}
 	delete(q.losses, at)
-	return quarantined
+	return accused
 }
 
-// accuse returns true when the question becomes quarantined.
+// accuse returns false when the upstream was counted before.
 func (q *questions) accuse(now time.Time, question core.Fingerprint, at core.UpstreamID) bool {
 	s := q.suspects[question]
 	if s == nil || now.Sub(s.last) > quarantineFor {
@@ -81,7 +88,7 @@
 		return false
 	}
 	s.broughtDown = append(s.broughtDown, at)
-	return len(s.broughtDown) == quarantineAfter
+	return true
 }
 
 // answered clears a question: an upstream ran it and lives.
--- a/edge/log.go
+++ b/edge/log.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"encoding/hex"
 	"io"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 )
 
@@ -63,6 +65,10 @@
 			event.Int(key, value)
 		}
 	}
+	if note.Question != (core.Fingerprint{}) {
+		text("question", hex.EncodeToString(note.Question[:8])) // half of it is unique enough
+	}
+	number("upstreams_lost", note.UpstreamsLost)
 	number("attempt", note.Attempt)
 	number("parts", note.Parts)
 	number("missing", note.Missing)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -113,6 +113,7 @@
 		"refused": stats.Refused, "failed": stats.Failed, "timed_out": stats.TimedOut, "no_route": stats.NoRoute,
 		"sends": stats.Sends, "relayed": stats.Relayed, "hedges": stats.Hedges, "retries": stats.Retries, "extra_denied": stats.ExtraDenied,
 		"late_replies": stats.Late, "callers_gone": stats.CallersGone,
+		"questions_suspected": stats.Accused, "questions_quarantined": stats.Quarantined, "quarantine_refused": stats.QuarantineRefused,
 	} {
 		set(name, int64(value))
 	}
