--- /dev/null
+++ b/edge/deadly_test.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/standin/serverstub"
+)
+
+// deadlyRig is a tier of four hosts in two failure domains, in front of servers
+// that deadly requests end for a while.
+type deadlyRig struct {
+	*rig
+	hosts []*running
+	asked int
+}
+
+func newDeadlyRig(t *testing.T) *deadlyRig {
+	r := &deadlyRig{rig: newRig(t)}
+	for _, service := range []string{"files", "orders", "shard-a", "shard-b"} {
+		for n := range 4 {
+			id := fmt.Sprint(service, "-", n)
+			r.serverIn(fmt.Sprint("d", 1+n%2), service, id, serverstub.Config{
+				Body: records(byte(n)), Work: 2 * time.Millisecond, Deadly: "/deadly", DownFor: 600 * time.Millisecond,
+				OnStart: func(starts int) { r.registerStart(service, id, starts) },
+			})
+		}
+	}
+	r.configure("files", "shard-a", "shard-b")
+	r.startHosts()
+	return r
+}
+
+func (r *deadlyRig) startHosts() {
+	for n := range 4 {
+		r.hosts = append(r.hosts, r.start(fmt.Sprint("d", 1+n%2), fmt.Sprint("h", n), 1))
+	}
+	for _, h := range r.hosts {
+		h.waitReady(true)
+	}
+}
+
+// resend puts a request to the hosts in turn for a while, beside others, each of
+// which has to be served.
+func (r *deadlyRig) resend(path string, d time.Duration) {
+	r.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(60 * time.Millisecond) {
+		r.asked++
+		h := r.hosts[r.asked%len(r.hosts)]
+		if got := h.ask("GET", path, fmt.Sprint("deadly-", r.asked), ""); got.err != nil || got.status == http.StatusOK {
+			r.t.Errorf("%s: status %d, %v", path, got.status, got.err)
+		}
+	}
+}
+
+// deadly returns when servers began to run deadly requests.
+func (r *deadlyRig) deadly() []time.Time {
+	var all []time.Time
+	for _, s := range r.servers {
+		all = append(all, s.Deadly()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+// TestRequestReachesServersNoMoreAfterItCrashedThree: whichever hosts it comes to,
+// and whether they saw the crashes or not (incident BUDGET).
+func TestRequestReachesServersNoMoreAfterItCrashedThree(t *testing.T) {
+	for _, path := range []string{"/fetch/deadly", "/order/deadly", "/gather/deadly"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			r := newDeadlyRig(t)
+			r.resend(path, 4*time.Second)
+			r.wantNoMore(r.deadly())
+		})
+	}
+}
+
+// TestRestartedHostsKnowWhatCrashesServers: all hosts may end at once.
+func TestRestartedHostsKnowWhatCrashesServers(t *testing.T) {
+	t.Parallel()
+	r := newDeadlyRig(t)
+	r.resend("/fetch/deadly", 2*time.Second)
+	for _, h := range r.hosts {
+		h.end()
+	}
+	r.hosts = nil
+	r.startHosts()
+	r.resend("/fetch/deadly", time.Second)
+	r.wantNoMore(r.deadly())
+}
+
+// wantNoMore checks what the rule BUDGET says of requests that crash servers.
+func (r *deadlyRig) wantNoMore(began []time.Time) {
+	r.t.Helper()
+	const allowed = 3
+	if len(began) < allowed {
+		r.t.Fatalf("%d servers ran the request: nothing is tested", len(began))
+	}
+	known := began[allowed-1].Add(contact)
+	later := slices.IndexFunc(began, func(at time.Time) bool { return at.After(known) })
+	if later >= 0 && len(began)-later > allowed {
+		r.t.Errorf("%d servers were crashed by %d requests, %d of them later than %v after the third", len(began), r.asked, len(began)-later, contact)
+	}
+}
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -63,11 +63,21 @@
 	r.register(service, id, "ready")
 }
 
-func (r *rig) register(service, id, state string) {
-	r.put("servers", id, map[string]any{
+func (r *rig) register(service, id, state string) { r.registerAs(service, id, state, 1) }
+
+// registerStart stores the entry of a server that has started again.
+func (r *rig) registerStart(service, id string, starts int) {
+	r.registerAs(service, id, "ready", starts)
+}
+
+func (r *rig) registerAs(service, id, state string, born int) {
+	err := r.store.Put("servers", id, map[string]any{
 		"service": service, "address": r.servers[id].Address(), "zone": r.domains[id], "version": "v1",
-		"max_concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+		"max_concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": born,
 	})
+	if err != nil {
+		r.t.Error(err) // servers register by themselves too
+	}
 }
 
 func (r *rig) put(kind, name string, spec any) {
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,23 +72,34 @@
 	Work time.Duration
 	// Body is the body of each answer.
 	Body []byte
+	// Deadly, if set, is a part of the paths whose requests end the process as
+	// they begin to run. It is back at its address after DownFor.
+	Deadly  string
+	DownFor time.Duration
+	// OnStart is told how often the process has started when it is back.
+	OnStart func(starts int)
 }
 
 // Server is one running server.
 type Server struct {
-	config   Config
+	config  Config
+	address string
+
+	mu       sync.Mutex
 	listener net.Listener
 	slots    chan struct{}
-
-	mu      sync.Mutex
-	fault   Fault
-	headers string    // added to each answer
-	sent    int64     // bytes of endless answers
-	pause   time.Time // nothing runs before
-	waiting int
-	runs    map[string]int // by request id
-	bodies  map[string]string
-	arrived int
+	conns    map[net.Conn]bool // open
+	closed   bool
+	starts   int
+	deadly   []time.Time // when deadly requests began to run
+	fault    Fault
+	headers  string    // added to each answer
+	sent     int64     // bytes of endless answers
+	pause    time.Time // nothing runs before
+	waiting  int
+	runs     map[string]int // by request id
+	bodies   map[string]string
+	arrived  int
 }
 
 // Start opens a server on a free loopback port.
@@ -96,19 +108,75 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	s := &Server{
-		config: config, listener: listener, slots: make(chan struct{}, max(1, config.Slots)),
-		runs: map[string]int{}, bodies: map[string]string{},
-	}
-	go s.accept()
+	s := &Server{config: config, address: listener.Addr().String(), runs: map[string]int{}, bodies: map[string]string{}}
+	s.begin(listener)
 	return s, nil
 }
 
+// begin is one start of the process.
+func (s *Server) begin(listener net.Listener) (starts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts++
+	s.waiting = 0
+	s.listener, s.slots, s.conns = listener, make(chan struct{}, max(1, s.config.Slots)), map[net.Conn]bool{}
+	go s.accept(listener)
+	return s.starts
+}
+
+// crash ends the process, which starts again after DownFor.
+func (s *Server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.listener.Close()
+	for c := range s.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // resets it
+		}
+		_ = c.Close()
+	}
+	s.conns = map[net.Conn]bool{}
+	time.AfterFunc(s.config.DownFor, s.restart)
+}
+
+func (s *Server) restart() {
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		time.AfterFunc(restartRetry, s.restart) // connections of before still hold the port
+		return
+	}
+	starts := s.begin(listener)
+	if s.config.OnStart != nil {
+		s.config.OnStart(starts)
+	}
+}
+
+// restartRetry is the pause before a port that is still in use is tried again.
+const restartRetry = 20 * time.Millisecond
+
+// Deadly returns when deadly requests began to run here.
+func (s *Server) Deadly() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.deadly)
+}
+
 // Address returns the server's "ip:port".
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Close stops taking connections.
-func (s *Server) Close() { _ = s.listener.Close() }
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.listener.Close()
+}
 
 // SetFault changes how the server misbehaves.
 func (s *Server) SetFault(f Fault) {
@@ -155,12 +223,15 @@
 // Stamp returns the signature of this server's answer to a request.
 func (s *Server) Stamp(requestID string) string { return s.config.ID + "." + requestID }
 
-func (s *Server) accept() {
+func (s *Server) accept(listener net.Listener) {
 	for {
-		c, err := s.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return // closed
 		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
 		if tcp, ok := c.(*net.TCPConn); ok && s.current() == Early {
 			_ = tcp.SetReadBuffer(earlyBuffer) // what is sent early has to wait
 		}
@@ -169,7 +240,12 @@
 }
 
 func (s *Server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -208,35 +284,48 @@
 	switch {
 	case fault == Other, expected != "" && expected != s.config.ID:
 		return s.refuse(c, r, http.StatusMisdirectedRequest)
-	case fault == Shed, !s.enter():
+	}
+	slots := s.enter(fault)
+	if slots == nil {
 		return s.refuse(c, r, http.StatusServiceUnavailable)
 	}
 	id := r.Header.Get("Request-Id")
+	deadly := s.config.Deadly != "" && strings.Contains(r.URL.Path, s.config.Deadly)
 	s.mu.Lock()
 	s.runs[id]++
 	s.bodies[id] = body
+	if deadly {
+		s.deadly = append(s.deadly, time.Now())
+	}
 	s.mu.Unlock()
+	if deadly {
+		s.crash()
+		return false
+	}
 	time.Sleep(s.config.Work)
-	<-s.slots
+	<-slots
 	return s.send(c, id, fault)
 }
 
-// enter waits for a slot; false means that the queue is full.
-func (s *Server) enter() bool {
+// enter waits for one of the slots, which it returns; nil means that there is no
+// room.
+func (s *Server) enter(fault Fault) chan struct{} {
 	s.mu.Lock()
-	if s.waiting > s.config.Queue {
+	if fault == Shed || s.waiting > s.config.Queue {
 		s.mu.Unlock()
-		return false
+		return nil
 	}
 	s.waiting++
-	pause := time.Until(s.pause)
+	pause, slots, start := time.Until(s.pause), s.slots, s.starts
 	s.mu.Unlock()
 	time.Sleep(max(0, pause))
-	s.slots <- struct{}{}
+	slots <- struct{}{}
 	s.mu.Lock()
-	s.waiting--
-	s.mu.Unlock()
-	return true
+	defer s.mu.Unlock()
+	if s.starts == start {
+		s.waiting--
+	}
+	return slots
 }
 
 func (s *Server) refuse(c net.Conn, r *http.Request, status int) bool {
