All hosts are told which questions end upstreams, and the store remembers it

Callers saw: upstreams of their service ended one after the other, since one request that came again and again ended each that ran it; other requests there were lost with them.

Cause: what protects upstreams was believed by each host for itself and died with its process.

Change: a lost answer has the upstream's address tried at once, without a request. If it refuses, the question is suspected; upstreams that end together count once, and a question that was answered anywhere is cleared, so that what ran there by chance is not refused. Each host stores what it found in an object of its own, after 200 ms or, with the second upstream, at once; all hosts watch these objects like the other feeds, and read them at their start. From two upstreams on, whoever saw them, nothing of the question is sent any more, also nothing that waits or would be repeated. It lasts 5 minutes for each upstream beyond the first, and one more crash puts it in force again.

Why it works: the quarantine begins with the second upstream on the host that saw it and a write and a watch later on all, before the time of contact is over; the object outlives the hosts.

Ruled out: sending the word from host to host as well (hosts that cannot reach each other would not hear it, and all may end at once); counting an upstream's later entry (seconds too late).

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -20,8 +20,17 @@
 	CallsGone []core.CallID
 	Answers   []Answer
 	Notes     []Note
+	// Checks are the upstreams whose addresses are to be tried, without a
+	// request.
+	Checks []Upstream
+	// Suspects is to be stored for all hosts; nil says nothing new.
+	Suspects *SuspectReport
 }
 
+// SuspectReport is what this host has found of questions, in place of what it
+// said before.
+type SuspectReport struct{ Suspects []Suspect }
+
 // Reset empties the lists and keeps their memory.
 func (a *Actions) Reset() {
 	clear(a.Sends)
@@ -29,7 +38,8 @@
 	clear(a.Answers)
 	clear(a.Notes)
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
-	a.Silent = nil
+	a.Silent, a.Suspects = nil, nil
+	a.Checks = a.Checks[:0]
 	a.Handovers, a.Probes, a.CallsGone = a.Handovers[:0], a.Probes[:0], a.CallsGone[:0]
 }
 
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -84,7 +84,9 @@
 		p.executed = true
 	}
 	if r.Outcome == Succeeded || r.Outcome == Failed {
-		e.questions.answered(c.request.Question)
+		if e.quarantine.answered(c.request.Question) {
+			e.publishSuspects(now, false)
+		}
 	}
 	if r.RelayFault {
 		return // it says nothing of the upstream
@@ -115,7 +117,6 @@
 		}
 		u.rest(now)
 		e.suspect(u, r)
-		e.noteAccused(u, e.questions.unreached(now, u.ID))
 	case Lost:
 		e.learnLost(now, a, r, ratio)
 	}
@@ -134,25 +135,8 @@
 		u.rest(now)
 		e.suspect(u, r)
 	}
-	if now.Before(c.deadline) {
-		e.questions.lost(now, c.request.Question, u.ID)
-	}
-}
-
-// noteAccused logs the questions that may have brought an upstream down.
-func (e *Engine) noteAccused(u *upstream, accused []accusation) {
-	for _, a := range accused {
-		note := Note{
-			Decision: DecisionAccuse, Question: a.question, Service: u.Service, Upstream: u.ID, UpstreamsLost: a.upstreams,
-			Version: e.Version(), Age: a.lostFor,
-		}
-		e.stats.Accused++
-		e.note(note)
-		if a.upstreams == quarantineAfter {
-			note.Decision = DecisionQuarantine
-			e.stats.Quarantined++
-			e.note(note)
-		}
+	if now.Before(c.deadline) && !c.answered() && e.quarantine.lost(now, c.request.Question, u.Start(), a.sentAt) {
+		e.out.Checks = append(e.out.Checks, u.Upstream)
 	}
 }
 
@@ -202,6 +186,9 @@
 	if c.request.Repeat {
 		most = 1
 	}
+	if e.quarantine.ended(c.request.Question) >= quarantineAfter {
+		return false
+	}
 	if p.ran() >= max(1, most) || p.sends >= maxAttempts || !now.Before(c.deadline) {
 		return false
 	}
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -50,10 +50,13 @@
 			e.budget(p.service).requests.add(now)
 		}
 	}
-	if e.questions.quarantined(now, a.Question) {
+	if _, quarantined := e.quarantine.until(now, a.Question); quarantined {
 		e.stats.QuarantineRefused++
-		e.note(Note{Decision: DecisionBarred, RequestID: a.RequestID, Question: a.Question, Route: route.Name, Version: c.config.Version})
-		e.refuse(now, c, "the question broke several upstreams")
+		e.note(Note{
+			Decision: DecisionBarred, RequestID: a.RequestID, Question: a.Question, UpstreamsLost: e.quarantine.ended(a.Question),
+			Route: route.Name, Version: c.config.Version,
+		})
+		e.refuse(now, c, "upstreams ended under the question")
 		return
 	}
 	if e.reachableParts(now, c) < c.needed() {
@@ -185,6 +188,10 @@
 // one could take it soon, and is over if there is none.
 func (e *Engine) send(now time.Time, p *part) {
 	c := p.call
+	if _, quarantined := e.quarantine.until(now, c.request.Question); quarantined {
+		p.over = p.pending == 0
+		return
+	}
 	if p.isExtra() && !e.affords(now, p) {
 		p.over = p.pending == 0
 		return
@@ -378,6 +385,11 @@
 	}
 }
 
+// answered says that an upstream has run the request and lives.
+func (c *call) answered() bool {
+	return c.failure != nil || slices.ContainsFunc(c.parts, func(p *part) bool { return p.in })
+}
+
 func (c *call) mayHaveRun() bool {
 	return slices.ContainsFunc(c.parts, func(p *part) bool { return p.executed || p.pending > 0 || p.in })
 }
@@ -435,6 +447,9 @@
 		}
 	}
 	left := time.Duration(maxRetryOfLeft * float64(c.deadline.Sub(now)))
+	if until, quarantined := e.quarantine.until(now, c.request.Question); quarantined {
+		return until.Sub(now)
+	}
 	if e.contacts.cutOff() {
 		return max(0, left) // callers reach another failure domain after seconds
 	}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -45,7 +45,7 @@
 	budgets    map[core.ServiceID]*extraBudget
 	usual      map[usualKey]*usualTime
 	queues     map[core.ServiceID]*queue
-	questions  questions
+	quarantine *quarantine
 	admission  admission
 	contacts   contacts
 	watching   bool // the other failure domains
@@ -128,18 +128,18 @@
 // New returns an Engine that knows no configuration.
 func New(options Options) *Engine {
 	return &Engine{
-		options:   options,
-		directory: newDirectory(options.Self, options.Domain),
-		fleet:     newFleet(options.Self, options.Domain),
-		handovers: map[core.CallID]*handover{},
-		calls:     map[core.CallID]*call{},
-		attempts:  map[uint64]*attempt{},
-		budgets:   map[core.ServiceID]*extraBudget{},
-		usual:     map[usualKey]*usualTime{},
-		queues:    map[core.ServiceID]*queue{},
-		questions: newQuestions(),
-		splits:    map[*Route]*splitter{},
-		admission: admission{share: firstShare},
+		options:    options,
+		directory:  newDirectory(options.Self, options.Domain),
+		fleet:      newFleet(options.Self, options.Domain),
+		handovers:  map[core.CallID]*handover{},
+		calls:      map[core.CallID]*call{},
+		attempts:   map[uint64]*attempt{},
+		budgets:    map[core.ServiceID]*extraBudget{},
+		usual:      map[usualKey]*usualTime{},
+		queues:     map[core.ServiceID]*queue{},
+		quarantine: newQuarantine(options.Self),
+		splits:     map[*Route]*splitter{},
+		admission:  admission{share: firstShare},
 	}
 }
 
@@ -151,6 +151,7 @@
 	next.sequence = e.sequence
 	next.budgets = e.budgets
 	next.directory.notices = e.directory.notices
+	next.quarantine = e.quarantine.succeed()
 	next.stats = e.stats
 	return next
 }
@@ -246,6 +247,10 @@
 		e.followed(event.ByOthers)
 	case HostsSilent:
 		e.silentHosts(now, event)
+	case UpstreamChecked:
+		e.checked(now, event)
+	case SuspectsSeen:
+		e.suspectsSeen(now, event)
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.graceTimer(now)
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -1,6 +1,8 @@
 package scatter
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
@@ -101,6 +103,49 @@
 	Hosts []core.HostID
 }
 
+// UpstreamStart names one start of an upstream.
+type UpstreamStart struct {
+	ID      core.UpstreamID
+	Started int64 // see Upstream
+}
+
+func (s UpstreamStart) compare(other UpstreamStart) int {
+	return cmp.Or(cmp.Compare(s.ID, other.ID), cmp.Compare(s.Started, other.Started))
+}
+
+// CheckResult is what a check of an upstream's address found.
+type CheckResult int
+
+// The results of a check.
+const (
+	// CheckFailed: nothing is known, as when the way to the upstream is cut.
+	CheckFailed CheckResult = iota
+	// UpstreamListens: something takes connections there.
+	UpstreamListens
+	// UpstreamRefuses: its host is there and nothing takes connections.
+	UpstreamRefuses
+)
+
+// UpstreamChecked is the outcome of a check.
+type UpstreamChecked struct {
+	Upstream UpstreamStart
+	Result   CheckResult
+}
+
+// Suspect is a question under which upstreams ended.
+type Suspect struct {
+	Question core.Fingerprint
+	Ended    []UpstreamStart
+}
+
+func (s Suspect) equal(other Suspect) bool {
+	return s.Question == other.Question && slices.Equal(s.Ended, other.Ended)
+}
+
+// SuspectsSeen is what all hosts have found, this one included, in place of what
+// was seen before.
+type SuspectsSeen struct{ ByHost map[core.HostID][]Suspect }
+
 // StoreReachable says whether the registry of upstreams answers this host.
 type StoreReachable struct{ Reachable bool }
 
@@ -121,6 +166,8 @@
 func (HostHeard) isEvent()       {}
 func (Followed) isEvent()        {}
 func (HostsSilent) isEvent()     {}
+func (UpstreamChecked) isEvent() {}
+func (SuspectsSeen) isEvent()    {}
 func (Tick) isEvent()            {}
 
 // Upstream is the registry's entry of one upstream.
@@ -142,6 +189,9 @@
 	Started int64
 }
 
+// Start names the upstream's start.
+func (u Upstream) Start() UpstreamStart { return UpstreamStart{u.ID, u.Started} }
+
 // Outcome is how an attempt ended.
 type Outcome int
 
--- /dev/null
+++ b/core/scatter/quarantine.go
@@ -0,0 +1,369 @@
+package scatter
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+)
+
+const (
+	// quarantineAfter upstreams that ended under a question, it is quarantined
+	// for quarantineFor, and as long again for each further one, at most for
+	// maxQuarantine.
+	quarantineAfter = 2
+	quarantineFor   = 5 * time.Minute
+	maxQuarantine   = time.Hour
+	// suspectFor is how long one upstream that ended is held against a question,
+	// rememberFor how long a quarantine is, so that one more puts it in force
+	// again.
+	suspectFor  = 10 * time.Minute
+	rememberFor = 2 * maxQuarantine
+	// publishDelay leaves a question that ran by chance where an upstream ended
+	// the time to be answered elsewhere, before other hosts are told of it.
+	publishDelay = 200 * time.Millisecond
+	// sweepSuspects is the time between two looks for suspicions that are over.
+	sweepSuspects = time.Minute
+	// maxSuspects bounds the questions that are remembered, maxPublished those
+	// that other hosts are told of.
+	maxSuspects  = 4096
+	maxPublished = 64
+	// maxLosses bounds the losses that are held against one upstream, and
+	// checkPatience the wait for what became of it.
+	maxLosses     = 64
+	checkPatience = 2 * time.Second
+)
+
+// quarantine finds the questions that end the upstreams that run them, and that
+// come again, at any host.
+//
+// A lost answer alone says little. The upstream has to refuse connections right
+// after it, a question that was answered anywhere is cleared, and of upstreams
+// that end together, as with a rack, one is held against a question. What a host
+// finds it tells all others, by way of the store, which outlives every host.
+type quarantine struct {
+	self     core.HostID
+	suspects map[core.Fingerprint]*suspectQuestion
+	losses   map[UpstreamStart]*lossesAt
+	// listed says that this host knows what it and others had found before; until
+	// then it would replace its own record unread.
+	listed     bool
+	published  []Suspect
+	publishing bool // a timer runs
+	sweeping   bool // a timer runs
+}
+
+// suspectQuestion is a question under which upstreams ended.
+type suspectQuestion struct {
+	ended map[UpstreamStart]*ending
+	last  time.Time // when the newest one was learned
+	// lostAt is when this host lost the last answer that it holds against the
+	// question.
+	lostAt time.Time
+}
+
+// ending is an upstream that ended under a question.
+type ending struct {
+	learnedAt time.Time
+	own       bool // seen by this host
+	told      bool // by another one
+}
+
+// lossesAt are the answers that did not come from an upstream.
+type lossesAt struct {
+	checkedAt time.Time // when a check of the upstream began
+	losses    []loss
+}
+
+// loss is an answer that did not come.
+type loss struct {
+	question   core.Fingerprint
+	sentAt, at time.Time
+}
+
+// finding is what a question has become suspected of.
+type finding struct {
+	question core.Fingerprint
+	upstream UpstreamStart
+	// ended counts the upstreams that ended under it.
+	ended int
+	by    core.HostID
+}
+
+func newQuarantine(self core.HostID) *quarantine {
+	return &quarantine{self: self, suspects: map[core.Fingerprint]*suspectQuestion{}, losses: map[UpstreamStart]*lossesAt{}}
+}
+
+// lost notes that a question has no answer from an upstream. True asks for a
+// check whether the upstream is there.
+func (q *quarantine) lost(now time.Time, question core.Fingerprint, at UpstreamStart, sentAt time.Time) (check bool) {
+	l := q.losses[at]
+	if l == nil || now.Sub(l.checkedAt) > checkPatience {
+		l = &lossesAt{checkedAt: now}
+		q.losses[at] = l
+		check = true
+	}
+	if len(l.losses) < maxLosses {
+		l.losses = append(l.losses, loss{question, sentAt, now})
+	}
+	return check
+}
+
+// checked takes the outcome of a check, and returns what it says of questions.
+func (q *quarantine) checked(now time.Time, at UpstreamStart, result CheckResult) (found []finding) {
+	l := q.losses[at]
+	delete(q.losses, at)
+	if l == nil || result != UpstreamRefuses {
+		return nil
+	}
+	for _, l := range l.losses {
+		if s := q.of(l.question); !l.sentAt.Before(s.lostAt) && s.add(now, at, true, false) {
+			s.lostAt = l.at
+			found = append(found, finding{l.question, at, len(s.ended), q.self})
+		}
+	}
+	return found
+}
+
+// of returns what is known of a question, for something to be added.
+func (q *quarantine) of(question core.Fingerprint) *suspectQuestion {
+	s := q.suspects[question]
+	if s == nil {
+		if len(q.suspects) >= maxSuspects {
+			q.evict()
+		}
+		s = &suspectQuestion{ended: map[UpstreamStart]*ending{}}
+		q.suspects[question] = s
+	}
+	return s
+}
+
+// evict forgets the question that was suspected longest ago.
+func (q *quarantine) evict() {
+	var oldest core.Fingerprint
+	var at time.Time
+	for question, s := range q.suspects {
+		if at.IsZero() || s.last.Before(at) {
+			oldest, at = question, s.last
+		}
+	}
+	delete(q.suspects, oldest)
+}
+
+// add returns true when the upstream was not held against the question before.
+func (s *suspectQuestion) add(now time.Time, at UpstreamStart, own, told bool) bool {
+	e, known := s.ended[at]
+	if !known {
+		e = &ending{learnedAt: now}
+		s.ended[at] = e
+		s.last = now
+	}
+	e.own, e.told = e.own || own, e.told || told
+	return !known
+}
+
+// told takes what all hosts have found.
+func (q *quarantine) told(now time.Time, byHost map[core.HostID][]Suspect) (found []finding) {
+	for _, s := range q.suspects {
+		for _, e := range s.ended {
+			e.told = false
+		}
+	}
+	for _, by := range slices.Sorted(maps.Keys(byHost)) {
+		own := by == q.self
+		if own && q.listed {
+			continue // this host's own word, which may be an older one
+		}
+		for _, suspect := range byHost[by] {
+			for _, at := range suspect.Ended {
+				if s := q.of(suspect.Question); s.add(now, at, own, !own) {
+					found = append(found, finding{suspect.Question, at, len(s.ended), by})
+				}
+			}
+		}
+	}
+	q.listed = true
+	q.drop(func(e *ending) bool { return !e.own && !e.told })
+	return found
+}
+
+// answered clears a question: an upstream ran it and lives.
+func (q *quarantine) answered(question core.Fingerprint) (changed bool) {
+	s := q.suspects[question]
+	if s == nil {
+		return false
+	}
+	for _, e := range s.ended {
+		changed = changed || e.own
+		e.own = false
+	}
+	q.drop(func(e *ending) bool { return !e.own && !e.told })
+	return changed
+}
+
+// sweep ends what this host has held against questions for long enough; it
+// returns whether it still holds something.
+func (q *quarantine) sweep(now time.Time) (more bool) {
+	for _, s := range q.suspects {
+		keep := suspectFor
+		if len(s.ended) >= quarantineAfter {
+			keep = rememberFor
+		}
+		for _, e := range s.ended {
+			e.own = e.own && now.Sub(s.last) <= keep
+			more = more || e.own
+		}
+	}
+	q.drop(func(e *ending) bool { return !e.own && !e.told })
+	return more
+}
+
+func (q *quarantine) drop(over func(*ending) bool) {
+	for question, s := range q.suspects {
+		maps.DeleteFunc(s.ended, func(_ UpstreamStart, e *ending) bool { return over(e) })
+		if len(s.ended) == 0 {
+			delete(q.suspects, question)
+		}
+	}
+}
+
+// ended counts the upstreams that ended under a question.
+func (q *quarantine) ended(question core.Fingerprint) int {
+	s := q.suspects[question]
+	if s == nil {
+		return 0
+	}
+	return len(s.ended)
+}
+
+// until returns when a question may be sent again, if it is quarantined.
+func (q *quarantine) until(now time.Time, question core.Fingerprint) (end time.Time, quarantined bool) {
+	count := q.ended(question)
+	if count < quarantineAfter {
+		return time.Time{}, false
+	}
+	end = q.suspects[question].last.Add(min(maxQuarantine, time.Duration(count-1)*quarantineFor))
+	return end, now.Before(end)
+}
+
+// report returns what this host has found, in a fixed order: what matters most
+// first.
+func (q *quarantine) report() []Suspect {
+	var all []Suspect
+	for question, s := range q.suspects {
+		suspect := Suspect{Question: question}
+		for at, e := range s.ended {
+			if e.own {
+				suspect.Ended = append(suspect.Ended, at)
+			}
+		}
+		if len(suspect.Ended) > 0 {
+			slices.SortFunc(suspect.Ended, UpstreamStart.compare)
+			all = append(all, suspect)
+		}
+	}
+	slices.SortFunc(all, func(a, b Suspect) int {
+		return cmp.Or(
+			cmp.Compare(q.ended(b.Question), q.ended(a.Question)),
+			q.suspects[b.Question].last.Compare(q.suspects[a.Question].last),
+			bytes.Compare(a.Question[:], b.Question[:]),
+		)
+	})
+	return all[:min(len(all), maxPublished)]
+}
+
+// changes returns what other hosts are to be told now; false is nothing new.
+func (q *quarantine) changes() ([]Suspect, bool) {
+	if !q.listed {
+		return nil, false
+	}
+	report := q.report()
+	if slices.EqualFunc(report, q.published, Suspect.equal) {
+		return nil, false
+	}
+	q.published = report
+	return report, true
+}
+
+// checked takes the outcome of a check of an upstream.
+func (e *Engine) checked(now time.Time, c UpstreamChecked) {
+	e.takeFindings(now, e.quarantine.checked(now, c.Upstream, c.Result))
+}
+
+// suspectsSeen takes what all hosts have found.
+func (e *Engine) suspectsSeen(now time.Time, seen SuspectsSeen) {
+	e.takeFindings(now, e.quarantine.told(now, seen.ByHost))
+	e.publishSuspects(now, false)
+}
+
+// takeFindings logs what questions have become suspected of, and tells others of
+// what this host found.
+func (e *Engine) takeFindings(now time.Time, found []finding) {
+	own, urgent := false, false
+	for _, f := range found {
+		own = own || f.by == e.options.Self
+		note := Note{
+			Decision: DecisionAccuse, Question: f.question, Upstream: f.upstream.ID, UpstreamsLost: f.ended,
+			Version: e.Version(), Detail: "found by " + string(f.by),
+		}
+		e.stats.Accused++
+		e.note(note)
+		if f.ended == quarantineAfter {
+			note.Decision = DecisionQuarantine
+			e.stats.Quarantined++
+			e.note(note)
+		}
+		urgent = urgent || f.ended >= quarantineAfter
+	}
+	if own {
+		e.publishSuspects(now, urgent)
+		e.sweepSuspects(now)
+	}
+}
+
+// publishSuspects tells other hosts what this one has found, at once or a little
+// later.
+func (e *Engine) publishSuspects(now time.Time, urgent bool) {
+	q := e.quarantine
+	if urgent {
+		if report, changed := q.changes(); changed {
+			e.out.Suspects = &SuspectReport{Suspects: report}
+		}
+		return
+	}
+	if q.publishing {
+		return
+	}
+	q.publishing = true
+	e.timers.Add(now.Add(publishDelay), func(now time.Time) {
+		q.publishing = false
+		e.publishSuspects(now, true)
+	})
+}
+
+// sweepSuspects ends suspicions in their time.
+func (e *Engine) sweepSuspects(now time.Time) {
+	q := e.quarantine
+	if q.sweeping {
+		return
+	}
+	q.sweeping = true
+	e.timers.Add(now.Add(sweepSuspects), func(now time.Time) {
+		q.sweeping = false
+		if q.sweep(now) {
+			e.sweepSuspects(now)
+		}
+		e.publishSuspects(now, true)
+	})
+}
+
+// succeed hands a quarantine to the engine that follows one that failed, whose
+// timers are gone.
+func (q *quarantine) succeed() *quarantine {
+	q.publishing, q.sweeping = false, false
+	q.losses = map[UpstreamStart]*lossesAt{}
+	return q
+}
--- /dev/null
+++ b/core/scatter/quarantine_test.go
@@ -0,0 +1,442 @@
+package scatter_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
+	"github.com/samphirebeam/samphirebeam/core/schedule"
+)
+
+var deadly = core.FingerprintOf([]byte("deadly"))
+
+// crashes lets upstreams that a test names end under what they run.
+func (r *rig) crashes(ends func(scatter.Send) bool) (down map[core.UpstreamID]bool) {
+	down = map[core.UpstreamID]bool{}
+	r.refuses = func(id core.UpstreamID) bool { return down[id] }
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		switch {
+		case down[s.Target.ID]:
+			return ms, scatter.Unreached
+		case ends(s):
+			r.later.Add(r.now.Add(2*ms), func() { down[s.Target.ID] = true })
+			return 2 * ms, scatter.Lost
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	return down
+}
+
+func suspectOf(ended ...core.UpstreamID) []scatter.Suspect {
+	s := scatter.Suspect{Question: deadly}
+	for _, id := range ended {
+		s.Ended = append(s.Ended, scatter.UpstreamStart{ID: id})
+	}
+	return []scatter.Suspect{s}
+}
+
+// TestHostsQuarantineTogether: what two hosts saw once each is enough, also on a
+// third one, and the refusal says when the quarantine ends.
+func TestHostsQuarantineTogether(t *testing.T) {
+	for name, seen := range map[string]map[core.HostID][]scatter.Suspect{
+		"one saw both":  {"host-2": suspectOf("files-a", "files-b")},
+		"one saw each":  {"host-2": suspectOf("files-a"), "host-3": suspectOf("files-b")},
+		"before it end": {"host-1": suspectOf("files-a", "files-b")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(1, 1)
+			r.step(scatter.SuspectsSeen{ByHost: seen})
+			got := r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly, Budget: time.Second}), scatter.Refused)
+			if got.RetryAfter != 5*time.Minute || len(r.sends) > 0 {
+				t.Errorf("retry after %v, %d sends", got.RetryAfter, len(r.sends))
+			}
+			r.run(time.Minute)
+			r.step(scatter.SuspectsSeen{ByHost: seen}) // the same again is nothing new
+			got = r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly, Budget: time.Second}), scatter.Refused)
+			if got.RetryAfter != 4*time.Minute {
+				t.Errorf("retry after %v", got.RetryAfter)
+			}
+			r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly, FromHost: true, Repeat: true}), scatter.Declined)
+		})
+	}
+	t.Run("one alone", func(t *testing.T) {
+		r := newRig(t)
+		r.configure(1, 1)
+		r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": suspectOf("files-a"), "host-3": suspectOf("files-a")}})
+		call := r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+		r.run(50 * ms)
+		r.want(call, scatter.PassedOn)
+	})
+}
+
+// TestRunningCallsKeepToTheQuarantine: what waits, is repeated or hedged when the
+// quarantine begins is not sent any more.
+func TestRunningCallsKeepToTheQuarantine(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 400 * ms, scatter.Lost }
+	var calls []core.CallID
+	for range 3 { // two run, the last one waits
+		calls = append(calls, r.arrive(scatter.Arrived{Path: gatherPath, Question: deadly, Budget: time.Second}))
+	}
+	r.run(ms)
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": suspectOf("files-a", "files-b")}})
+	r.run(time.Second)
+	r.want(calls[0], scatter.UpstreamsFailed)
+	r.want(calls[1], scatter.UpstreamsFailed)
+	r.want(calls[2], scatter.Refused)
+	if len(r.sends) != 2 {
+		t.Errorf("%d sends", len(r.sends))
+	}
+}
+
+// TestWhatAHostFoundIsToldOnce: a suspicion after a moment, a quarantine at once,
+// and what is answered after all is withdrawn.
+func TestWhatAHostFoundIsToldOnce(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{})
+	ends := true
+	down := r.crashes(func(scatter.Send) bool { return ends })
+	call := r.arrive(scatter.Arrived{Path: orderPath, Question: deadly}) // runs once
+	r.run(100 * ms)
+	r.want(call, scatter.UpstreamsFailed)
+	if len(r.told) != 0 {
+		t.Fatalf("told %v at once", r.told)
+	}
+	r.run(200 * ms)
+	if len(r.told) != 1 || len(r.told[0]) != 1 || len(r.told[0][0].Ended) != 1 {
+		t.Fatalf("told %v", r.told)
+	}
+	// Its own word comes back, also late.
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": r.told[0]}})
+	clear(down)
+	ends = false
+	r.run(3 * time.Second)
+	call = r.arrive(scatter.Arrived{Path: orderPath, Question: deadly})
+	r.run(300 * ms)
+	r.want(call, scatter.PassedOn)
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": r.told[0]}})
+	if len(r.told) != 2 || len(r.told[1]) != 0 {
+		t.Fatalf("told %v", r.told)
+	}
+	ends = true
+	call = r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+	r.run(10 * ms)
+	r.want(call, scatter.UpstreamsFailed)
+	if len(r.told) != 3 || len(r.told[2][0].Ended) != 2 {
+		t.Errorf("told %v", r.told)
+	}
+	r.run(3 * time.Hour)
+	if last := r.told[len(r.told)-1]; len(last) != 0 {
+		t.Errorf("%v is held against it for good", last)
+	}
+}
+
+// TestWhatWasFoundEarlyIsToldLater: a host that does not know its own record yet
+// keeps what it finds until then.
+func TestWhatWasFoundEarlyIsToldLater(t *testing.T) {
+	earlier := scatter.Suspect{Question: core.FingerprintOf([]byte("earlier")), Ended: []scatter.UpstreamStart{{ID: "old-a"}}}
+	for _, record := range [][]scatter.Suspect{nil, {earlier}} {
+		r := newRig(t)
+		r.configure(1, 1)
+		r.crashes(func(scatter.Send) bool { return true })
+		r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+		r.run(time.Second)
+		if len(r.told) > 0 {
+			t.Fatalf("told %v", r.told)
+		}
+		r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": record}})
+		r.run(time.Second)
+		if len(r.told) != 1 || len(r.told[0]) != 1+len(record) {
+			t.Errorf("told %v", r.told)
+		}
+	}
+}
+
+// TestQuestionsThatRanByChanceAreNotQuarantined: a crash of many upstreams takes
+// along what ran there.
+func TestQuestionsThatRanByChanceAreNotQuarantined(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.step(scatter.SuspectsSeen{})
+	crash := r.now.Add(10 * time.Second)
+	down := map[core.UpstreamID]bool{}
+	r.refuses = func(id core.UpstreamID) bool { return down[id] }
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if !down[s.Target.ID] && r.now.Before(crash) && !r.now.Add(20*ms).Before(crash) {
+			return crash.Sub(r.now), scatter.Lost
+		}
+		if down[s.Target.ID] {
+			return ms, scatter.Unreached
+		}
+		return 20 * ms, scatter.Succeeded
+	}
+	r.run(10*time.Second - 10*ms)
+	// Both upstreams of the service run it as they end together.
+	first := r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+	second := r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+	for _, id := range []core.UpstreamID{"files-a", "files-b"} {
+		r.later.Add(crash.Add(-ms), func() { down[id] = true })
+	}
+	r.run(500 * ms)
+	r.want(first, scatter.UpstreamsFailed)
+	r.want(second, scatter.UpstreamsFailed)
+	if r.checks != 2 {
+		t.Fatalf("%d checks: nothing is tested", r.checks)
+	}
+	clear(down)
+	r.run(3 * time.Second)
+	call := r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+	r.run(400 * ms)
+	r.want(call, scatter.PassedOn)
+	if last := r.told[len(r.told)-1]; len(last) != 0 {
+		t.Errorf("it is still suspected: %v", last)
+	}
+}
+
+// TestAnsweredGatherSuspectsNothing: a gather of which a part is in runs on
+// upstreams that live.
+func TestAnsweredGatherSuspectsNothing(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 4)
+	r.step(scatter.SuspectsSeen{})
+	r.refuses = func(core.UpstreamID) bool { return true }
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.Service == "shard00" {
+			return 9 * ms, scatter.Lost
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	for range 4 {
+		call := r.arrive(scatter.Arrived{Path: gatherPath, Question: deadly})
+		r.run(200 * ms)
+		r.want(call, scatter.Gathered)
+	}
+	if r.checks > 0 || len(r.told) > 0 {
+		t.Errorf("%d checks, told %v", r.checks, r.told)
+	}
+}
+
+// TestAfterAQuarantineOneUpstreamIsAtStake: the quarantine ends, and one more
+// upstream that ends puts it in force again, for longer.
+func TestAfterAQuarantineOneUpstreamIsAtStake(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": suspectOf("old-a", "old-b")}})
+	r.run(5*time.Minute + time.Second)
+	r.crashes(func(scatter.Send) bool { return true })
+	call := r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
+	r.run(50 * ms)
+	r.want(call, scatter.UpstreamsFailed)
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends", len(r.sends))
+	}
+	got := r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly}), scatter.Refused)
+	if got.RetryAfter < 9*time.Minute {
+		t.Errorf("retry after %v", got.RetryAfter)
+	}
+}
+
+// TestSuspicionsAreBounded: also when other hosts tell without end.
+func TestSuspicionsAreBounded(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	var many []scatter.Suspect
+	for i := range 10_000 {
+		many = append(many, scatter.Suspect{
+			Question: core.FingerprintOf([]byte(fmt.Sprint(i))), Ended: []scatter.UpstreamStart{{ID: "files-a"}, {ID: "files-b"}},
+		})
+	}
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": many}})
+	r.run(time.Second)
+	if len(r.told) != 1 || len(r.told[0]) != 64 {
+		t.Errorf("told %d times", len(r.told))
+	}
+	refused := 0
+	for _, s := range many {
+		call := r.arrive(scatter.Arrived{Path: fetchPath, Question: s.Question})
+		if r.answers[call].Kind == scatter.Refused {
+			refused++
+		}
+	}
+	if refused != 4096 {
+		t.Errorf("%d are remembered", refused)
+	}
+}
+
+// deadlyTier is a number of hosts that tell each other through a store, which
+// takes its time, and callers that send one request again and again.
+type deadlyTier struct {
+	now     time.Time
+	random  *rand.Rand
+	hosts   []*scatter.Engine
+	later   schedule.Timers[func()]
+	told    map[core.HostID][]scatter.Suspect
+	store   time.Duration // longest time until all hosts know
+	starts  map[core.UpstreamID]int64
+	downTo  map[core.UpstreamID]time.Time
+	crashed []time.Time
+}
+
+func (s *deadlyTier) host(n int) core.HostID { return core.HostID(fmt.Sprint("host-", n)) }
+
+// start starts a host anew; it learns what is known.
+func (s *deadlyTier) start(n int) {
+	var hosts []scatter.Host
+	for i := range s.hosts {
+		hosts = append(hosts, scatter.Host{ID: s.host(i), Domain: "d1", Power: 1})
+	}
+	e := scatter.New(scatter.Options{
+		Self: s.host(n), Domain: "d1", Hosts: len(s.hosts), Random: s.random.Float64,
+		Extra: scatter.ExtraLimits{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
+	})
+	s.hosts[n] = e
+	s.step(e, scatter.HostsSeen{Hosts: hosts})
+	s.step(e, scatter.UpstreamsListed{Upstreams: s.upstreams()})
+	route := &scatter.Route{
+		Name: "fetch", Host: "h.example", Prefix: fetchPath, Repeatable: true, Timeout: 800 * ms, Target: 200 * ms,
+		MaxUpstreams: 2, Targets: []scatter.Target{{Service: "files", Weight: 1}},
+	}
+	s.step(e, scatter.ConfigSeen{Config: scatter.NewConfig(1, []*scatter.Route{route}, map[core.ServiceID]scatter.Service{"files": {ID: "files", Connections: 96}}, scatter.CallerLimits{})})
+	// It reads all lists at its start, as one.
+	s.step(e, scatter.SuspectsSeen{ByHost: maps.Clone(s.told)})
+}
+
+func (s *deadlyTier) upstreams() (all []scatter.Upstream) {
+	for id, started := range s.starts {
+		all = append(all, scatter.Upstream{ID: id, Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 6, Started: started})
+	}
+	slices.SortFunc(all, func(a, b scatter.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// tell lets a host see what is stored, after a while.
+func (s *deadlyTier) tell(e *scatter.Engine, n int) {
+	s.later.Add(s.now.Add(time.Duration(s.random.Int64N(int64(s.store)))), func() {
+		if s.hosts[n] == e { // it was not started anew
+			s.step(e, scatter.SuspectsSeen{ByHost: maps.Clone(s.told)})
+		}
+	})
+}
+
+func (s *deadlyTier) step(e *scatter.Engine, event scatter.Event) {
+	var out scatter.Actions
+	e.Step(s.now, event, &out)
+	for _, send := range out.Sends {
+		id := send.Target.ID
+		outcome := scatter.Lost
+		if s.now.Before(s.downTo[id]) || send.Target.Started != s.starts[id] {
+			outcome = scatter.Unreached
+		} else {
+			s.crash(id)
+		}
+		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.Replied{Attempt: send.Attempt, Outcome: outcome}) })
+	}
+	for _, u := range out.Checks {
+		result := scatter.UpstreamListens
+		if s.now.Before(s.downTo[u.ID]) {
+			result = scatter.UpstreamRefuses
+		}
+		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.UpstreamChecked{Upstream: u.Start(), Result: result}) })
+	}
+	if out.Suspects != nil {
+		n := slices.Index(s.hosts, e)
+		s.told[s.host(n)] = out.Suspects.Suspects
+		for i, other := range s.hosts {
+			s.tell(other, i)
+		}
+	}
+}
+
+// crash ends an upstream, which starts again after a while.
+func (s *deadlyTier) crash(id core.UpstreamID) {
+	s.crashed = append(s.crashed, s.now)
+	s.downTo[id] = s.now.Add(time.Second)
+	s.later.Add(s.downTo[id], func() {
+		s.starts[id]++
+		for _, e := range s.hosts {
+			s.step(e, scatter.UpstreamsListed{Upstreams: s.upstreams()})
+		}
+	})
+}
+
+func (s *deadlyTier) run(d time.Duration) {
+	end := s.now.Add(d)
+	for {
+		next, host := s.later.Next(), -1
+		for i, e := range s.hosts {
+			if due := e.Next(); !due.IsZero() && (next.IsZero() || due.Before(next)) {
+				next, host = due, i
+			}
+		}
+		if next.IsZero() || next.After(end) {
+			break
+		}
+		if next.After(s.now) {
+			s.now = next
+		}
+		if host >= 0 {
+			s.step(s.hosts[host], scatter.Tick{})
+		} else if fire, ready := s.later.Pop(s.now); ready {
+			fire()
+		}
+	}
+	s.now = end
+}
+
+// TestTierStopsARequestOfDeath replays callers that send one request again and
+// again, through hosts that are restarted meanwhile: four seconds after the third
+// upstream ended, three more requests at most reach one.
+func TestTierStopsARequestOfDeath(t *testing.T) {
+	for seed := range uint64(40) {
+		s := &deadlyTier{
+			now: epoch, random: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*scatter.Engine, 8), told: map[core.HostID][]scatter.Suspect{},
+			store: time.Second, starts: map[core.UpstreamID]int64{}, downTo: map[core.UpstreamID]time.Time{},
+		}
+		for n := range 6 {
+			s.starts[core.UpstreamID(fmt.Sprint("u-", n))] = 1
+		}
+		for n := range s.hosts {
+			s.start(n)
+		}
+		s.run(2 * time.Second)
+		var call core.CallID
+		for end := s.now.Add(40 * time.Second); s.now.Before(end); s.run(time.Duration(s.random.Int64N(int64(400 * ms)))) {
+			call++
+			n := s.random.IntN(len(s.hosts))
+			s.step(s.hosts[n], scatter.Arrived{Call: call, RequestID: fmt.Sprint(call), Host: "h.example", Path: fetchPath, At: s.now, Budget: time.Second, Question: deadly})
+			if s.random.IntN(40) == 0 {
+				s.start(s.random.IntN(len(s.hosts)))
+			}
+			if s.random.IntN(200) == 0 {
+				for n := range s.hosts {
+					s.start(n)
+				}
+			}
+		}
+		if len(s.crashed) < 2 {
+			t.Fatalf("seed %d: %d upstreams ended", seed, len(s.crashed))
+		}
+		if len(s.crashed) < 3 {
+			continue
+		}
+		known := s.crashed[2].Add(4 * time.Second)
+		later := 0
+		for _, at := range s.crashed {
+			if at.After(known) {
+				later++
+			}
+		}
+		if later > 3 {
+			t.Errorf("seed %d: %d upstreams ended, %d of them too late", seed, len(s.crashed), later)
+		}
+	}
+}
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -28,6 +28,8 @@
 	relayed func(s scatter.Send) (after time.Duration, replied scatter.Replied)
 	// notice is what an upstream says of itself beside its answer.
 	notice func(s scatter.Send) scatter.Notice
+	// refuses says whether an upstream's address refuses connections; nil is none.
+	refuses func(core.UpstreamID) bool
 	// probed is told of probes; nil leaves them without an answer.
 	probed func(core.HostID)
 	// peer says how a host answers a handover.
@@ -41,6 +43,8 @@
 	answers   map[core.CallID]scatter.Answer
 	answered  map[core.CallID]time.Time
 	notes     []scatter.Note
+	checks    int
+	told      [][]scatter.Suspect // what is stored for all hosts
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -98,6 +102,17 @@
 		replied.Attempt, replied.Payload = s.Attempt, string(s.Target.ID)
 		r.later.Add(r.now.Add(after), func() { r.step(replied) })
 	}
+	for _, u := range out.Checks {
+		r.checks++
+		result := scatter.UpstreamListens
+		if r.refuses != nil && r.refuses(u.ID) {
+			result = scatter.UpstreamRefuses
+		}
+		r.later.Add(r.now.Add(ms), func() { r.step(scatter.UpstreamChecked{Upstream: u.Start(), Result: result}) })
+	}
+	if out.Suspects != nil {
+		r.told = append(r.told, out.Suspects.Suspects)
+	}
 	for _, h := range out.Probes {
 		if r.probed != nil {
 			r.probed(h.ID)
--- a/core/scatter/single_test.go
+++ b/core/scatter/single_test.go
@@ -198,6 +198,7 @@
 	deadly := core.FingerprintOf([]byte("deadly"))
 	down := map[core.UpstreamID]bool{}
 	kills := true
+	r.refuses = func(id core.UpstreamID) bool { return down[id] }
 	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
 		switch {
 		case down[s.Target.ID]:
@@ -227,6 +228,8 @@
 	r.run(50 * ms)
 	r.want(other, scatter.PassedOn)
 	r.run(40 * time.Second)
+	r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly}), scatter.Refused)
+	r.run(5 * time.Minute)
 	r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly})
 	if len(r.sends) != sends+2 {
 		t.Error("the quarantine has no end")
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -109,6 +109,7 @@
 	}
 	for _, feed := range []*platform.Feed{
 		platform.ConfigFeed(objects), platform.UpstreamFeed(objects), platform.DomainFeed(objects), platform.HostFeed(objects),
+		platform.SuspectFeed(objects),
 	} {
 		r.hubs[feed.Name] = newHub(feed, logged)
 		r.hubs[feed.Name].onSource = r.sourceChanged
--- a/edge/host.go
+++ b/edge/host.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// storeConnections is the most connections to the store: one a feed and
-	// one for registering.
-	storeConnections = 5
+	// storeConnections is the most connections to the store: one a feed, one for
+	// registering and one for what this host suspects.
+	storeConnections = 7
 	// lingerShare of the time until the kill, callers' open connections are
 	// served on; the rest is for requests that still run.
 	lingerShare = 0.65
@@ -56,6 +56,7 @@
 	peers    *peers
 	relays   *relayLinks
 	registry *registry
+	suspects *suspectWriter
 	server   *grpc.Server // for other hosts
 	notes    *noteWriter
 	ready    atomic.Bool
@@ -102,6 +103,7 @@
 	h.registry.followers.onFollowed = func(followed bool) { h.report(scatter.Followed{ByOthers: followed}) }
 	h.registry.onSilent = func(report scatter.HostsSilent) { h.offer(report) }
 	h.registry.onReachable = func(up bool) { h.report(scatter.StoreReachable{Reachable: up}) }
+	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, place.Host), h.log, h.panics)
 	h.server = newPeerServer(h)
 	h.decision = &decision{core: h.newCore(), inbox: h.inbox, perform: h.perform, renew: h.renewCore}
 	if err := h.listen(); err != nil {
@@ -218,6 +220,12 @@
 	if actions.Silent != nil {
 		h.registry.silent.set(actions.Silent.Hosts)
 	}
+	for _, target := range actions.Checks {
+		h.check(target)
+	}
+	if actions.Suspects != nil {
+		h.suspects.put(actions.Suspects)
+	}
 	for _, answer := range actions.Answers {
 		h.front.answer(answer)
 	}
@@ -346,6 +354,7 @@
 	h.duties.Go(func() { h.sender.sweep(ctx) })
 	h.duties.Go(func() { h.front.closeIdle(ctx) })
 	h.duties.Go(func() { h.registry.run(ctx) })
+	h.duties.Go(func() { h.suspects.run(ctx) })
 	serve(func() error { return h.server.Serve(h.control) })
 	serve(func() error { return h.front.run(h.callers) })
 	serve(func() error { return h.serveUntilClosed(h.readiness, http.HandlerFunc(h.serveReady)) })
