A host that starts leaves its record of suspects as it was

After a restart each host that had found something wrote the same record again: one call to the store for nothing (seen as suspects_stored right after ready in the log of TestRestartedHostsKnowWhatCrashesServers). What was read counts as told; the report is ordered by question, so that it compares equal. TestWhatWasFoundEarlyIsToldLater fails without it.

--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -185,7 +185,9 @@
 			}
 		}
 	}
-	q.listed = true
+	if !q.listed {
+		q.listed, q.published = true, byHost[q.self]
+	}
 	q.drop(func(e *ending) bool { return !e.own && !e.told })
 	return found
 }
@@ -249,8 +251,8 @@
 	return end, now.Before(end)
 }
 
-// report returns what this host has found, in a fixed order: what matters most
-// first.
+// report returns what this host has found, by question; what matters least is
+// left out when it is too much.
 func (q *quarantine) report() []Suspect {
 	var all []Suspect
 	for question, s := range q.suspects {
@@ -269,12 +271,16 @@
 		return cmp.Or(
 			cmp.Compare(q.ended(b.Question), q.ended(a.Question)),
 			q.suspects[b.Question].last.Compare(q.suspects[a.Question].last),
-			bytes.Compare(a.Question[:], b.Question[:]),
+			byQuestion(a, b),
 		)
 	})
-	return all[:min(len(all), maxPublished)]
+	all = all[:min(len(all), maxPublished)]
+	slices.SortFunc(all, byQuestion)
+	return all
 }
 
+func byQuestion(a, b Suspect) int { return bytes.Compare(a.Question[:], b.Question[:]) }
+
 // changes returns what other hosts are to be told now; false is nothing new.
 func (q *quarantine) changes() ([]Suspect, bool) {
 	if !q.listed {
--- a/core/scatter/quarantine_test.go
+++ b/core/scatter/quarantine_test.go
@@ -156,7 +156,14 @@
 		r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": record}})
 		r.run(time.Second)
 		if len(r.told) != 1 || len(r.told[0]) != 1+len(record) {
-			t.Errorf("told %v", r.told)
+			t.Fatalf("told %v", r.told)
+		}
+		// The host's next start finds its record as it left it.
+		next := newRig(t)
+		next.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": r.told[0]}})
+		next.run(time.Second)
+		if len(next.told) > 0 {
+			t.Errorf("told again: %v", next.told)
 		}
 	}
 }
