Hosts that restart have no allowance of repeats for one window

Each start of a host had its whole share of the fixed allowance of repeats again, whatever its earlier start had just spent.

A host that starts waits for one window of the budget before it uses its share, unless the tier starts for the first time; what it may repeat by its own requests it may at once. The same covers hosts that join, whose share the others still use until they know of them.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -198,7 +198,7 @@
 // affords says whether this host's share of the budget allows one more arrival
 // of a part.
 func (e *Engine) affords(now time.Time, p *part) bool {
-	if e.budget(p.service).allows(now, e.options.Extra, e.fleet.allowanceShare()) {
+	if e.budget(p.service).allows(now, e.options.Extra, e.allowanceShare(now)) {
 		return true
 	}
 	c := p.call
@@ -207,6 +207,16 @@
 	return false
 }
 
+// allowanceShare is this host's part of the allowance of repeated sends. What an
+// earlier start of this host may have spent of it counts until a window has
+// passed; so does what the other hosts spend before they know of a new one.
+func (e *Engine) allowanceShare(now time.Time) float64 {
+	if !e.options.FirstStart && now.Sub(e.startedAt) < e.options.Extra.Window {
+		return 0
+	}
+	return e.fleet.allowanceShare()
+}
+
 // ran counts the upstreams on which a part runs, has run or may have run.
 func (p *part) ran() int {
 	count := 0
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -25,6 +25,8 @@
 	// Relay lets the parts of a gather travel through hosts in the upstreams'
 	// failure domains.
 	Relay bool
+	// FirstStart says that no host of the tier ran before.
+	FirstStart bool
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -41,6 +43,7 @@
 	calls      map[core.CallID]*call
 	attempts   map[uint64]*attempt
 	sequence   uint64
+	startedAt  time.Time // of the first step
 	timers     schedule.Timers[firing]
 	budgets    map[core.ServiceID]*extraBudget
 	usual      map[usualKey]*usualTime
@@ -148,7 +151,7 @@
 // none of this one's attempt numbers.
 func (e *Engine) Successor() *Engine {
 	next := New(e.options)
-	next.sequence = e.sequence
+	next.sequence, next.startedAt = e.sequence, e.startedAt
 	next.budgets = e.budgets
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.succeed()
@@ -203,6 +206,9 @@
 // that are due at now. Time never runs backwards between calls.
 func (e *Engine) Step(now time.Time, event Event, out *Actions) {
 	e.out = out
+	if e.startedAt.IsZero() {
+		e.startedAt = now
+	}
 	for {
 		fire, due := e.timers.Pop(now)
 		if !due {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -422,6 +422,7 @@
 	}
 	r.server("orders", "o1", serverstub.Config{Body: []byte("order taken"), Work: 300 * time.Millisecond})
 	r.configure("files")
+	r.firstStart = true // a host that was restarted has nothing to repeat with yet
 	strong := []*running{r.host("strong-1", 1), r.host("strong-2", 1)}
 	for i := range 6 {
 		r.host(fmt.Sprint("stands-by-", i), 0.1)
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -31,6 +31,8 @@
 	servers map[string]*serverstub.Server
 	domains map[string]string // of servers
 	version int
+	// firstStart says that no host of the tier ran before.
+	firstStart bool
 	// idleTimeout is what the configuration allows callers' connections.
 	idleTimeout time.Duration
 }
@@ -143,7 +145,7 @@
 	r.t.Helper()
 	place := platform.HostSettings{
 		Host: "", Domain: "", IP: "127.0.0.1", Callers: freeAddress(r.t), Readiness: freeAddress(r.t), Control: freeAddress(r.t),
-		Store: r.address, Power: power, MemoryBytes: 1 << 28, StopWithin: 2 * time.Second, Contact: contact,
+		FirstStart: r.firstStart, Store: r.address, Power: power, MemoryBytes: 1 << 28, StopWithin: 2 * time.Second, Contact: contact,
 		Seeds: seeds, RetryRatio: 0.2, RetryAllowance: 56, RetryWindow: 10 * time.Second,
 	}
 	place.Host, place.Domain = hostID(name), domainID(domain)
