A relay that stops declines what is on its way to it

A relay ended its streams as soon as nothing ran; what its callers had sent meanwhile may have been passed on or not, so each part was repeated at the cost of the budget of repeats, although nothing had run.

--- a/edge/host.go
+++ b/edge/host.go
@@ -63,6 +63,7 @@
 	stopping atomic.Bool
 	version  atomic.Uint64 // of the configuration in force
 	stopped  chan struct{} // closed when other hosts have to turn elsewhere
+	ending   chan struct{} // closed when the streams of other hosts end
 	duties   sync.WaitGroup
 
 	callers, readiness, control, admin net.Listener
@@ -82,6 +83,7 @@
 		objects:  platform.NewObjects(place.Store, storeConnections),
 		peers:    newPeers(),
 		stopped:  make(chan struct{}),
+		ending:   make(chan struct{}),
 	}
 	h.log, h.logs = newLog(out, level, string(place.Host), string(place.Domain), func(missed int) {
 		h.meters.logDropped.Inc(int64(missed))
@@ -400,6 +402,7 @@
 	if err := h.front.server.Shutdown(ctx); err != nil {
 		h.log.Warn().Str("event", "stop_incomplete").AnErr("cause", err).Msg("requests still run")
 	}
+	close(h.ending)
 	stopServer(ctx, h.server)
 	stopDuties()
 	h.relays.close()
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -49,6 +49,13 @@
 		return err // what runs ends with the stream
 	case <-s.host.stopped:
 		r.drain()
+	}
+	// What is on its way is declined: once the stream ends, the other host cannot
+	// know whether it was sent.
+	select {
+	case err := <-ended:
+		return err
+	case <-s.host.ending:
 		return status.Error(codes.Unavailable, "this host stops")
 	}
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -89,6 +89,30 @@
 	}
 }
 
+// TestStoppingRelayDeclinesWhatIsOnItsWay: a stream that just ended would leave
+// open whether it was sent, and it would have to be repeated.
+func TestStoppingRelayDeclinesWhatIsOnItsWay(t *testing.T) {
+	_, hosts := relayRig(t)
+	client, err := hosts[0].peers.client(hosts[2].place.Control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := client.Relay(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts[2].stop()
+	for i := range 10 {
+		time.Sleep(50 * time.Millisecond)
+		if err := stream.Send(&edgepb.RelayRequest{Id: uint64(i), ConfigVersion: 1, Method: "GET", Target: "/gather/x"}); err != nil {
+			t.Fatalf("after %d requests: %v", i, err)
+		}
+		if reply, err := stream.Recv(); err != nil || !reply.Declined {
+			t.Fatalf("request %d: %v, %v", i, reply, err)
+		}
+	}
+}
+
 // TestRelayDeclinesOtherVersions: a host that passed on what another version of
 // the configuration decided would seem to go back to it.
 func TestRelayDeclinesOtherVersions(t *testing.T) {
