A gather that ends its upstreams spares their twins

Upstreams that end together count once against a question, since a crash of many takes along what runs there by chance. That holds no more where they are half of a gather's parts and none was answered. Parts whose connections were only reset are repeated as before (TestResetConnectionsSuspectNothing); gathers with a part in are not held up.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -135,7 +135,10 @@
 		u.rest(now)
 		e.suspect(u, r)
 	}
-	if now.Before(c.deadline) && !c.answered() && e.quarantine.lost(now, c.request.Question, u.Start(), a.sentAt) {
+	if !now.Before(c.deadline) || c.answered() {
+		return
+	}
+	if e.quarantine.lost(now, u.Start(), loss{c.request.Question, len(c.parts), a.sentAt, now}) {
 		e.out.Checks = append(e.out.Checks, u.Upstream)
 	}
 }
@@ -170,6 +173,11 @@
 		Decision: DecisionRetry, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Upstream: a.to.ID,
 		Attempt: p.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: "after " + r.Outcome.String(),
 	})
+	if r.Outcome == Lost && c.route.IsGather() && !c.answered() {
+		// Should its upstreams end under it, one of each service is enough.
+		e.resendLater(now, p)
+		return
+	}
 	e.send(now, p)
 	if p.over && r.Outcome.SurelyNotRun() && p.sends < maxAttempts {
 		e.resendLater(now, p)
@@ -228,7 +236,7 @@
 	return count
 }
 
-// resendLater tries the upstreams that refused a part again after a pause.
+// resendLater tries the upstreams that did not run a part again after a pause.
 func (e *Engine) resendLater(now time.Time, p *part) {
 	p.over = false
 	delay := resendDelay << p.sends
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -17,6 +17,10 @@
 	quarantineAfter = 2
 	quarantineFor   = 5 * time.Minute
 	maxQuarantine   = time.Hour
+	// gatherShare of a gather's parts, and at least gatherLeast, whose upstreams
+	// ended together before any part was in are enough as well.
+	gatherShare = 0.5
+	gatherLeast = 3
 	// suspectFor is how long one upstream that ended is held against a question,
 	// rememberFor how long a quarantine is, so that one more puts it in force
 	// again.
@@ -42,8 +46,9 @@
 //
 // A lost answer alone says little. The upstream has to refuse connections right
 // after it, a question that was answered anywhere is cleared, and of upstreams
-// that end together, as with a rack, one is held against a question. What a host
-// finds it tells all others, by way of the store, which outlives every host.
+// that end together, as with a rack, one is held against a question, unless they
+// are most of those that a gather asked. What a host finds it tells all others, by
+// way of the store, which outlives every host.
 type quarantine struct {
 	self     core.HostID
 	suspects map[core.Fingerprint]*suspectQuestion
@@ -61,8 +66,9 @@
 	ended map[UpstreamStart]*ending
 	last  time.Time // when the newest one was learned
 	// lostAt is when this host lost the last answer that it holds against the
-	// question.
-	lostAt time.Time
+	// question, together the upstreams that ended at the same time.
+	lostAt   time.Time
+	together []UpstreamStart
 }
 
 // ending is an upstream that ended under a question.
@@ -81,6 +87,7 @@
 // loss is an answer that did not come.
 type loss struct {
 	question   core.Fingerprint
+	parts      int // of the call
 	sentAt, at time.Time
 }
 
@@ -99,7 +106,7 @@
 
 // lost notes that a question has no answer from an upstream. True asks for a
 // check whether the upstream is there.
-func (q *quarantine) lost(now time.Time, question core.Fingerprint, at UpstreamStart, sentAt time.Time) (check bool) {
+func (q *quarantine) lost(now time.Time, at UpstreamStart, lost loss) (check bool) {
 	l := q.losses[at]
 	if l == nil || now.Sub(l.checkedAt) > checkPatience {
 		l = &lossesAt{checkedAt: now}
@@ -107,7 +114,7 @@
 		check = true
 	}
 	if len(l.losses) < maxLosses {
-		l.losses = append(l.losses, loss{question, sentAt, now})
+		l.losses = append(l.losses, lost)
 	}
 	return check
 }
@@ -120,9 +127,19 @@
 		return nil
 	}
 	for _, l := range l.losses {
-		if s := q.of(l.question); !l.sentAt.Before(s.lostAt) && s.add(now, at, true, false) {
-			s.lostAt = l.at
-			found = append(found, finding{l.question, at, len(s.ended), q.self})
+		s := q.of(l.question)
+		if l.sentAt.Before(s.lostAt) {
+			s.together = append(s.together, at)
+			if l.parts == 1 || float64(len(s.together)) < max(gatherLeast, gatherShare*float64(l.parts)) {
+				continue
+			}
+		} else {
+			s.lostAt, s.together = l.at, []UpstreamStart{at}
+		}
+		for _, at := range s.together {
+			if s.add(now, at, true, false) {
+				found = append(found, finding{l.question, at, len(s.ended), q.self})
+			}
 		}
 	}
 	return found
--- a/core/scatter/quarantine_test.go
+++ b/core/scatter/quarantine_test.go
@@ -209,6 +209,43 @@
 	}
 }
 
+// TestGatherOfDeathTakesOneUpstreamOfAShard: its parts end their upstreams all at
+// once, and the twins of these are spared.
+func TestGatherOfDeathTakesOneUpstreamOfAShard(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 8)
+	r.step(scatter.SuspectsSeen{})
+	r.crashes(func(scatter.Send) bool { return true })
+	call := r.arrive(scatter.Arrived{Path: gatherPath, Question: deadly})
+	r.run(300 * ms)
+	r.want(call, scatter.UpstreamsFailed)
+	r.want(r.arrive(scatter.Arrived{Path: gatherPath, Question: deadly}), scatter.Refused)
+	if len(r.sends) != 8 || len(r.told) == 0 {
+		t.Errorf("%d sends, told %v", len(r.sends), r.told)
+	}
+}
+
+// TestResetConnectionsSuspectNothing: all parts are lost at once and their
+// upstreams live.
+func TestResetConnectionsSuspectNothing(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 8)
+	r.step(scatter.SuspectsSeen{})
+	first := true
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) {
+		if first {
+			return 2 * ms, scatter.Lost
+		}
+		return 5 * ms, scatter.Succeeded
+	}
+	call := r.arrive(scatter.Arrived{Path: gatherPath, Question: deadly})
+	first = false
+	r.run(50 * ms)
+	if got := r.want(call, scatter.Gathered); got.Missing > 0 || len(r.told) > 0 {
+		t.Errorf("%d missing, told %v", got.Missing, r.told)
+	}
+}
+
 // TestAnsweredGatherSuspectsNothing: a gather of which a part is in runs on
 // upstreams that live.
 func TestAnsweredGatherSuspectsNothing(t *testing.T) {
