Soak: one request that crashes its servers, sent again and again

Four servers at addresses of their own now end under one that comes about 20 times a second to any host, beside all other faults. After the last fault all hosts are killed at once; what was found before must still be known then: three more servers may end.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -148,6 +148,33 @@
 	}
 }
 
+// deadlyPause is the mean time between two requests that crash servers.
+const deadlyPause = 50 * time.Millisecond
+
+// crash sends a request that crashes its servers again and again, to any host.
+func (p *promises) crash(seed uint64, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	client := &http.Client{Timeout: 4 * time.Second}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.Float64() * 2 * float64(deadlyPause))):
+		}
+		h := p.fleet.hosts[random.IntN(len(p.fleet.hosts))]
+		status, _, _ := ask(client, h, http.MethodGet, "/file/deadly", fmt.Sprint("deadly-", i), "")
+		p.count("deadly", status)
+	}
+}
+
+// crashed counts the servers that the deadly request crashed.
+func (f *fleet) crashed() (count int) {
+	for _, s := range f.files {
+		count += len(s.Deadly())
+	}
+	return count
+}
+
 // settle checks what the servers ran against what callers were told.
 func (p *promises) settle() {
 	for id, status := range p.orders {
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -25,6 +25,10 @@
 	shards       = 3
 	shardServers = 2
 	orderServers = 2
+	// fileServers take what crashes its servers, each for downTime. Their
+	// addresses are their own, so that a crash shows there.
+	fileServers = 4
+	downTime    = 500 * time.Millisecond
 	// contact, in milliseconds, is the time of contact that hosts are given;
 	// grace the time until the kill.
 	contactMs = 1000
@@ -41,6 +45,7 @@
 	web     *httptest.Server
 	hosts   []*host
 	servers []*server
+	files   []*serverstub.Server
 
 	mu      sync.Mutex
 	version int
@@ -88,6 +93,11 @@
 			return f, err
 		}
 	}
+	for j := range fileServers {
+		if err := f.addFileServer(fmt.Sprint("f", j)); err != nil {
+			return f, err
+		}
+	}
 	if err := f.configure(); err != nil {
 		return f, err
 	}
@@ -114,11 +124,31 @@
 	return f.register(s, "ready")
 }
 
-func (f *fleet) register(s *server, state string) error {
-	return f.store.Put("servers", s.id, map[string]any{
-		"service": s.service, "address": s.proxy.address(), "zone": s.domain, "version": "v1", "max_concurrency": 4,
-		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+func (f *fleet) addFileServer(id string) error {
+	register := func(address string, starts int) error {
+		return f.store.Put("servers", id, entry("files", "d1", address, "ready", starts))
+	}
+	var stub *serverstub.Server
+	stub, err := serverstub.Start(serverstub.Config{
+		ID: id, Slots: 4, Queue: 24, Work: workTime, Deadly: "/deadly", DownFor: downTime,
+		OnStart: func(starts int) { _ = register(stub.Address(), starts) }, // it fails for no entry of this form
 	})
+	if err != nil {
+		return err
+	}
+	f.files = append(f.files, stub)
+	return register(stub.Address(), 1)
+}
+
+func (f *fleet) register(s *server, state string) error {
+	return f.store.Put("servers", s.id, entry(s.service, s.domain, s.proxy.address(), state, 1))
+}
+
+func entry(service, domain, address, state string, born int) map[string]any {
+	return map[string]any{
+		"service": service, "address": address, "zone": domain, "version": "v1", "max_concurrency": 4,
+		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": born,
+	}
 }
 
 // configure writes the next version, whose gather asks two shards or all.
@@ -136,7 +166,7 @@
 		return more
 	}
 	var services []map[string]any
-	for _, name := range []string{"shard-0", "shard-1", "shard-2", "orders"} {
+	for _, name := range []string{"shard-0", "shard-1", "shard-2", "orders", "files"} {
 		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 60})
 	}
 	return f.store.Put("config", "main", map[string]any{
@@ -144,6 +174,7 @@
 		"routes": []any{
 			with(map[string]any{"name": "gather", "path_prefix": "/gather/", "kind": "idempotent", "gather": set, "top_k": 4, "min_coverage": 0.5}),
 			with(map[string]any{"name": "order", "path_prefix": "/order/", "kind": "non_idempotent", "service": "orders"}),
+			with(map[string]any{"name": "file", "path_prefix": "/file/", "kind": "idempotent", "service": "files"}),
 		},
 	})
 }
@@ -260,5 +291,8 @@
 		s.proxy.close()
 		s.Close()
 	}
+	for _, s := range f.files {
+		s.Close()
+	}
 	f.web.CloseClientConnections()
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -25,6 +25,9 @@
 	startWithin = 10 * time.Second
 	// faultPause is the mean time between the beginnings of two faults.
 	faultPause = 500 * time.Millisecond
+	// deadlyRetries is how often a request may still reach servers after all
+	// hosts had the time to learn that it crashes them, which no restart ends.
+	deadlyRetries = 3
 )
 
 // Config is what a soak is made of.
@@ -70,8 +73,14 @@
 		callers.Go(func() { p.call(i, config.Seed, stop) })
 	}
 	t := &trouble{fleet: f, promises: p, random: rand.New(rand.NewPCG(config.Seed, 0)), folder: config.Folder}
+	callers.Go(func() { p.crash(config.Seed, stop) })
 	t.run(config.Faults)
+	t.killAll()
+	before := f.crashed()
 	p.recovers()
+	if later := f.crashed() - before; before > 0 && later > deadlyRetries {
+		p.breaks("%d servers crashed under one request, and %d more after all hosts were killed", before, later)
+	}
 	close(stop)
 	callers.Wait()
 	time.Sleep(100 * time.Millisecond) // what is under way at servers ends
@@ -178,6 +187,20 @@
 	return "SIGKILL " + h.name, func() { t.restart(h, ended) }
 }
 
+// killAll ends all hosts at the same moment, a time of contact after the last
+// fault, and starts them again.
+func (t *trouble) killAll() {
+	time.Sleep(contactMs * time.Millisecond)
+	t.done = append(t.done, "SIGKILL all")
+	ends := make([]<-chan struct{}, len(t.fleet.hosts))
+	for i, h := range t.fleet.hosts {
+		ends[i] = h.signal(syscall.SIGKILL)
+	}
+	for i, h := range t.fleet.hosts {
+		t.restart(h, ends[i])
+	}
+}
+
 func (t *trouble) pauseHost() (string, func()) {
 	h := t.host()
 	h.signal(syscall.SIGSTOP)
