--- a/core/scatter/quarantine_test.go
+++ b/core/scatter/quarantine_test.go
@@ -289,6 +289,25 @@
 	}
 }
 
+// TestSuccessorKeepsTheQuarantine: an engine that met an unexpected error is
+// replaced, and the question may have been the cause.
+func TestSuccessorKeepsTheQuarantine(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{})
+	r.crashes(func(scatter.Send) bool { return true })
+	r.arrive(scatter.Arrived{Path: orderPath, Question: deadly})
+	r.run(50 * ms) // its timer to tell others is lost
+	r.engine = r.engine.Successor()
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": suspectOf("old-a")}})
+	r.run(time.Second)
+	r.want(r.arrive(scatter.Arrived{Path: fetchPath, Question: deadly}), scatter.Refused)
+	if len(r.told) != 1 || len(r.told[0]) != 1 {
+		t.Errorf("told %v", r.told)
+	}
+}
+
 // TestSuspicionsAreBounded: also when other hosts tell without end.
 func TestSuspicionsAreBounded(t *testing.T) {
 	r := newRig(t)
