A tenth of the allowance of repeats is for hosts that restarted

With few requests a host the ratio alone allows next to nothing.

Now a host that started less than a window ago has a tenth of its share, the others nine tenths: all hosts may restart twice within a window, at a budget that is spent, and the tier keeps to it. TestRestartsStayWithinTheBudget (three restarts of a spent budget) holds.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -215,14 +215,19 @@
 	return false
 }
 
+// restartShare of the allowance of repeated sends is for hosts that started less
+// than a window ago; the others have the rest.
+const restartShare = 0.1
+
 // allowanceShare is this host's part of the allowance of repeated sends. What an
 // earlier start of this host may have spent of it counts until a window has
 // passed; so does what the other hosts spend before they know of a new one.
 func (e *Engine) allowanceShare(now time.Time) float64 {
+	share := e.fleet.allowanceShare()
 	if !e.options.FirstStart && now.Sub(e.startedAt) < e.options.Extra.Window {
-		return 0
+		return restartShare * share
 	}
-	return e.fleet.allowanceShare()
+	return (1 - restartShare) * share
 }
 
 // ran counts the upstreams on which a part runs, has run or may have run.
