--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -73,9 +73,8 @@
 
 // ending is an upstream that ended under a question.
 type ending struct {
-	learnedAt time.Time
-	own       bool // seen by this host
-	told      bool // by another one
+	own  bool // seen by this host
+	told bool // by another one
 }
 
 // lossesAt are the answers that did not come from an upstream.
@@ -128,13 +127,16 @@
 	}
 	for _, l := range l.losses {
 		s := q.of(l.question)
-		if l.sentAt.Before(s.lostAt) {
+		switch {
+		case !l.sentAt.Before(s.lostAt):
+			s.lostAt, s.together = l.at, []UpstreamStart{at}
+		case l.parts == 1 || slices.Contains(s.together, at):
+			continue
+		default:
 			s.together = append(s.together, at)
-			if l.parts == 1 || float64(len(s.together)) < max(gatherLeast, gatherShare*float64(l.parts)) {
+			if float64(len(s.together)) < max(gatherLeast, gatherShare*float64(l.parts)) {
 				continue
 			}
-		} else {
-			s.lostAt, s.together = l.at, []UpstreamStart{at}
 		}
 		for _, at := range s.together {
 			if s.add(now, at, true, false) {
@@ -174,7 +176,7 @@
 func (s *suspectQuestion) add(now time.Time, at UpstreamStart, own, told bool) bool {
 	e, known := s.ended[at]
 	if !known {
-		e = &ending{learnedAt: now}
+		e = &ending{}
 		s.ended[at] = e
 		s.last = now
 	}
