Read, log and count the rate limit that an upstream states

The header Server-Limit is decoded into Notice.Limit, kept for each start of an upstream, logged when it begins, changes by a tenth or ends, and the attempts at limited upstreams are counted (all, relayed, extra). A limit ends with an answer without one to a request sent after it was last stated, so that a slow answer does not end it.

No decision changes.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -171,6 +171,8 @@
 	DecisionUpstreamDraining       Decision = "upstream_draining"
 	DecisionUpstreamLeaving        Decision = "upstream_leaving"
 	DecisionUpstreamWithheld       Decision = "upstream_withheld"
+	DecisionUpstreamLimited        Decision = "upstream_limited"
+	DecisionUpstreamUnlimited      Decision = "upstream_limit_lifted"
 	DecisionUpstreamRemoved        Decision = "upstream_removed"
 	DecisionUpstreamKept           Decision = "upstream_kept_without_entry"
 	DecisionConfig                 Decision = "config_in_force"
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -34,7 +34,8 @@
 	if r.Outcome.Answered() {
 		e.recordDomainAlive(now, u.Domain)
 	}
-	e.recordNotice(now, u, r.Notice)
+	e.countLimitedSend(a)
+	e.recordNotice(now, a, r)
 	e.recordOutcome(now, a, r)
 	e.dispatchQueued(now, p.service)
 	if c.done {
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -65,9 +65,10 @@
 	// missingSince is when the entry was found missing; zero if it is present.
 	missingSince time.Time
 	removed      bool
-	// leaving and withheldUntil come from the upstream's own notices.
+	// leaving, withheldUntil and limit come from the upstream's own notices.
 	leaving       bool
 	withheldUntil time.Time
+	limit         limitState
 	coldUntil     time.Time
 	nextCold      time.Time // earliest next send while cold
 
@@ -130,6 +131,7 @@
 		u = &upstream{Upstream: entry, slowness: 1, window: initialWindow, tieBreak: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
 		known := d.notices.Lookup(now, entry)
 		u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
+		u.limit = limitState{RateLimit: known.Limit, since: now, logged: known.Limit.PerSecond}
 		d.byID[entry.ID] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -70,6 +70,10 @@
 	// Quarantined the fingerprints put in quarantine, and QuarantineRefused the
 	// requests refused because their fingerprint is in quarantine.
 	Accused, Quarantined, QuarantineRefused uint64
+	// LimitedSends counts the sends to upstreams that state a rate limit;
+	// LimitedRelayed and LimitedExtra are those of them that went through a relay
+	// and the hedges and retries.
+	LimitedSends, LimitedRelayed, LimitedExtra uint64
 }
 
 // timerFunc is called when a timer is due.
--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -20,6 +20,15 @@
 	// RetryAfter is the backoff that the upstream requests from the host whose
 	// request it rejected; 0 for none.
 	RetryAfter time.Duration
+	// Limit is the rate limit that the upstream states.
+	Limit RateLimit
+}
+
+// RateLimit is a limit on the requests that an upstream accepts from all hosts
+// together. It applies until the upstream answers without one.
+type RateLimit struct {
+	Stated    bool
+	PerSecond float64
 }
 
 // Notices keeps the notices of upstreams. The key includes the start of the
@@ -43,6 +52,9 @@
 	leaving bool
 	// until is the end of the backoff that the upstream requested.
 	until time.Time
+	// limit is the rate limit in force, limitAt when it was last stated.
+	limit   RateLimit
+	limitAt time.Time
 }
 
 // NewNotices returns an empty Notices.
@@ -51,12 +63,16 @@
 func noticeKeyOf(u Upstream) noticeKey { return noticeKey{u.ID, u.Address, u.Started} }
 
 // Record stores a notice; changed is false if it adds nothing to what is stored.
-func (n *Notices) Record(now time.Time, from Upstream, notice Notice) (changed bool) {
-	if !notice.Leaving && notice.RetryAfter <= 0 {
-		return false
-	}
+// SentAt is when the request was sent that the upstream answered with the notice,
+// or zero if the notice does not come from an answer. A limit ends with an answer
+// without one, unless the request was sent before the limit was last stated.
+func (n *Notices) Record(now, sentAt time.Time, from Upstream, notice Notice) (changed bool) {
 	key := noticeKeyOf(from)
 	known, found := n.byStart[key]
+	limitEnds := known.limit.Stated && !notice.Limit.Stated && sentAt.After(known.limitAt)
+	if !notice.Leaving && notice.RetryAfter <= 0 && !notice.Limit.Stated && !limitEnds {
+		return false
+	}
 	if !found && len(n.byStart) >= maxNotices {
 		n.evictOldest()
 	}
@@ -66,8 +82,14 @@
 			until = end
 		}
 	}
-	changed = notice.Leaving && !known.leaving || until.After(known.until)
-	n.byStart[key] = recordedNotice{at: now, leaving: known.leaving || notice.Leaving, until: until}
+	limit, limitAt := known.limit, known.limitAt
+	if notice.Limit.Stated {
+		limit, limitAt = notice.Limit, now
+	} else if limitEnds {
+		limit = RateLimit{}
+	}
+	changed = notice.Leaving && !known.leaving || until.After(known.until) || limit != known.limit
+	n.byStart[key] = recordedNotice{at: now, leaving: known.leaving || notice.Leaving, until: until, limit: limit, limitAt: limitAt}
 	return changed
 }
 
@@ -86,18 +108,24 @@
 // RetryAfter.
 func (n *Notices) Lookup(now time.Time, u Upstream) Notice {
 	known := n.byStart[noticeKeyOf(u)]
-	return Notice{Leaving: known.leaving, RetryAfter: max(0, known.until.Sub(now))}
+	return Notice{Leaving: known.leaving, RetryAfter: max(0, known.until.Sub(now)), Limit: known.limit}
 }
 
 // Forbids reports whether no request may be sent to the upstream at present.
 func (n Notice) Forbids() bool { return n.Leaving || n.RetryAfter > 0 }
 
-// recordNotice applies a notice to the state of an upstream.
-func (e *Engine) recordNotice(now time.Time, u *upstream, notice Notice) {
-	if !e.directory.notices.Record(now, u.Upstream, notice) {
+// recordNotice applies the notice that came with the end of an attempt to the
+// state of its upstream.
+func (e *Engine) recordNotice(now time.Time, a *attempt, r AttemptEnded) {
+	u, sentAt := a.to, time.Time{}
+	if r.Outcome == Succeeded || r.Outcome == Failed || r.Outcome == NotExecuted {
+		sentAt = a.sentAt
+	}
+	if !e.directory.notices.Record(now, sentAt, u.Upstream, r.Notice) {
 		return
 	}
 	known := e.directory.notices.Lookup(now, u.Upstream)
+	e.setLimit(now, u, known.Limit)
 	if known.Leaving && !u.leaving {
 		u.leaving = true
 		e.noteUpstream(u, DecisionUpstreamLeaving)
--- a/core/scatter/notices_test.go
+++ b/core/scatter/notices_test.go
@@ -187,16 +187,16 @@
 	n := scatter.NewNotices()
 	of := func(i int) scatter.Upstream { return scatter.Upstream{ID: core.UpstreamID(fmt.Sprint("u-", i))} }
 	for i := range 20_000 {
-		n.Record(epoch.Add(time.Duration(i)), of(i), scatter.Notice{Leaving: true})
+		n.Record(epoch.Add(time.Duration(i)), time.Time{}, of(i), scatter.Notice{Leaving: true})
 	}
 	if n.Lookup(epoch, of(0)).Leaving || !n.Lookup(epoch, of(19_999)).Leaving {
 		t.Error("the newest notices are not the ones that are kept")
 	}
-	n.Record(epoch, of(1), scatter.Notice{RetryAfter: 240 * time.Hour})
+	n.Record(epoch, time.Time{}, of(1), scatter.Notice{RetryAfter: 240 * time.Hour})
 	if got := n.Lookup(epoch.Add(10*time.Minute), of(1)); got.Forbids() {
 		t.Errorf("backoff of %v after ten minutes", got.RetryAfter)
 	}
-	if n.Record(epoch, of(2), scatter.Notice{RetryAfter: -time.Second}) {
+	if n.Record(epoch, time.Time{}, of(2), scatter.Notice{RetryAfter: -time.Second}) {
 		t.Error("a negative backoff is recorded")
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -115,6 +115,7 @@
 		"sends": stats.Sends, "relayed": stats.Relayed, "hedges": stats.Hedges, "retries": stats.Retries, "extra_denied": stats.ExtraDenied,
 		"late_replies": stats.Late, "callers_gone": stats.CallersGone,
 		"questions_suspected": stats.Accused, "questions_quarantined": stats.Quarantined, "quarantine_refused": stats.QuarantineRefused,
+		"limited_sends": stats.LimitedSends, "limited_relayed": stats.LimitedRelayed, "limited_extra": stats.LimitedExtra,
 	} {
 		set(name, int64(value))
 	}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -24,9 +24,9 @@
 	return s.notices.Lookup(time.Now(), target)
 }
 
-// record stores a notice that arrived with an answer.
-func (s noticeStore) record(from scatter.Upstream, notice scatter.Notice) {
+// record stores a notice that arrived with the answer to a request sent at sentAt.
+func (s noticeStore) record(sentAt time.Time, from scatter.Upstream, notice scatter.Notice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notices.Record(time.Now(), from, notice)
+	s.notices.Record(time.Now(), sentAt, from, notice)
 }
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -157,13 +157,14 @@
 		_ = c.raw.Close()
 		return withheld(notice)
 	}
+	sentAt := time.Now()
 	reply, reusable, err := s.exchange(c, send, forward)
 	s.detach(state)
 	if err != nil {
 		c.abort()
 		return failed(scatter.Lost, err)
 	}
-	s.notices.record(send.Target, reply.Notice)
+	s.notices.record(sentAt, send.Target, reply.Notice)
 	replied = scatter.AttemptEnded{Attempt: send.Attempt, Outcome: reply.Outcome, Payload: reply, Notice: reply.Notice}
 	if reply.Close || !reusable {
 		c.abort()
