--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
@@ -17,12 +18,15 @@
 type tier struct {
 	now       time.Time
 	random    *rand.Rand
-	engines   []*scatter.Engine
+	hosts     []scatter.Host
+	engines   []*scatter.Engine // by host; nil while it is down
+	state     []scatter.Event   // what a host reads from the store at its start
 	later     schedule.Timers[func()]
 	upstreams map[core.UpstreamID]*simUpstream
 	calls     core.CallID
 	callsByID map[core.CallID]*simCall
 	routes    map[string]simRoute
+	relay     bool // hosts relay parts for each other
 }
 
 // simUpstream is one simulated upstream.
@@ -31,8 +35,27 @@
 	slowness float64
 	waiting  int
 	pauses   time.Duration // phase of its pauses
+	limit    scatter.RateLimit
+	limited  time.Time    // since when it states the limit
+	arrivals []simArrival // while it states a limit
+	// informedAt is when each host first received an answer with the limit.
+	informedAt map[core.HostID]time.Time
 }
 
+// simArrival is a request that arrived at an upstream from a host, which may be a
+// relay.
+type simArrival struct {
+	at   time.Time
+	from core.HostID
+	// informed is true if the host had received an answer with the upstream's
+	// limit informedAfter before.
+	informed bool
+}
+
+// informedAfter is how long after the first answer with a limit a host's requests
+// count.
+const informedAfter = 500 * ms
+
 // simRoute is a route with the service time, the target and the deadline of its
 // requests.
 type simRoute struct {
@@ -48,6 +71,13 @@
 	first   time.Time // when the caller sent its first attempt
 	retried bool
 	result  *simResult
+	// handover is the host and the call of a request that was handed over.
+	handover *simHandover
+}
+
+type simHandover struct {
+	engine int
+	call   core.CallID
 }
 
 // simResult counts how requests ended.
@@ -67,9 +97,8 @@
 		now: epoch, random: rand.New(rand.NewPCG(1, 2)), upstreams: map[core.UpstreamID]*simUpstream{},
 		callsByID: map[core.CallID]*simCall{}, routes: map[string]simRoute{},
 	}
-	var list []scatter.Host
 	for i := range hosts {
-		list = append(list, scatter.Host{ID: core.HostID(fmt.Sprint("host-", i)), Domain: core.DomainID(fmt.Sprint("d", i%3)), Cores: 1})
+		s.hosts = append(s.hosts, scatter.Host{ID: core.HostID(fmt.Sprint("host-", i)), Domain: core.DomainID(fmt.Sprint("d", i%3)), Cores: 1})
 	}
 	services := map[core.ServiceID]scatter.Service{}
 	var ids []core.ServiceID
@@ -84,7 +113,7 @@
 			}
 			upstreams = append(upstreams, u)
 			s.upstreams[u.ID] = &simUpstream{
-				free: make([]time.Time, u.Slots), slowness: 0.8 + 0.5*s.random.Float64(), pauses: time.Duration(s.random.Int64N(int64(simPauseEvery))),
+				free: make([]time.Time, u.Slots), informedAt: map[core.HostID]time.Time{}, slowness: 0.8 + 0.5*s.random.Float64(), pauses: time.Duration(s.random.Int64N(int64(simPauseEvery))),
 			}
 		}
 	}
@@ -96,34 +125,116 @@
 			Priority: i + 1, MaxUpstreams: 2, Shards: ids, TopRecords: 5, MinCoverage: 0.89 - 0.14*float64(i),
 		})
 	}
+	s.state = []scatter.Event{
+		scatter.HostsSeen{Hosts: slices.Clone(s.hosts)},
+		scatter.UpstreamsListed{Upstreams: upstreams},
+		scatter.ConfigSeen{Config: scatter.NewConfig(1, configured, services, scatter.CallerLimits{})},
+	}
+	s.engines = make([]*scatter.Engine, hosts)
 	for i := range hosts {
-		e := scatter.New(scatter.Options{
-			Self: list[i].ID, Domain: list[i].Domain, AnswerMargin: 9 * ms, AssumedHosts: hosts, FirstStart: true, Random: s.random.Float64,
-			Extra: scatter.ExtraLimits{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second},
-		})
-		s.engines = append(s.engines, e)
-		s.step(i, scatter.HostsSeen{Hosts: list})
-		s.step(i, scatter.UpstreamsListed{Upstreams: upstreams})
-		s.step(i, scatter.ConfigSeen{Config: scatter.NewConfig(1, configured, services, scatter.CallerLimits{})})
+		s.start(i)
 	}
 	return s
 }
 
+// start starts or restarts a host, which reads the store.
+func (s *tier) start(i int) {
+	s.engines[i] = scatter.New(scatter.Options{
+		Self: s.hosts[i].ID, Domain: s.hosts[i].Domain, AnswerMargin: 9 * ms, AssumedHosts: len(s.hosts), FirstStart: true, Random: s.random.Float64,
+		Extra: scatter.ExtraLimits{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second}, Relay: s.relay,
+	})
+	for _, u := range s.upstreams {
+		delete(u.informedAt, s.hosts[i].ID)
+	}
+	for _, event := range s.state {
+		s.step(i, event)
+	}
+}
+
 // step passes one event to an engine and carries out its actions.
 func (s *tier) step(engine int, event scatter.Event) {
 	var out scatter.Actions
-	s.engines[engine].Step(s.now, event, &out)
+	e := s.engines[engine]
+	e.Step(s.now, event, &out)
 	for _, send := range out.Sends {
+		sender := s.hosts[engine].ID
+		if send.Via.ID != "" {
+			sender = send.Via.ID
+		}
+		s.recordArrival(send.Target.ID, sender)
 		after, outcome := s.serve(send)
 		s.later.Add(s.now.Add(after), func() {
-			s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part"})
+			notice := s.notice(send.Target.ID, sender)
+			if s.engines[engine] == e {
+				s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part", Notice: notice})
+			}
 		})
 	}
+	for _, h := range out.Handovers {
+		s.handOver(engine, h)
+	}
 	for _, a := range out.Answers {
 		s.answered(a)
 	}
 }
 
+// recordArrival records a request at an upstream that states a limit.
+func (s *tier) recordArrival(id core.UpstreamID, sender core.HostID) {
+	u := s.upstreams[id]
+	if !u.limit.Stated {
+		return
+	}
+	at, known := u.informedAt[sender]
+	u.arrivals = append(u.arrivals, simArrival{s.now, sender, known && s.now.Sub(at) >= informedAfter})
+}
+
+// notice returns the notice in an answer that a host receives.
+func (s *tier) notice(id core.UpstreamID, receiver core.HostID) scatter.Notice {
+	u := s.upstreams[id]
+	if _, known := u.informedAt[receiver]; u.limit.Stated && !known {
+		u.informedAt[receiver] = s.now
+	}
+	return scatter.Notice{Limit: u.limit}
+}
+
+// handOver passes a request to another host.
+func (s *tier) handOver(from int, h scatter.Handover) {
+	to := slices.IndexFunc(s.hosts, func(other scatter.Host) bool { return other.ID == h.To.ID })
+	if to < 0 || s.engines[to] == nil {
+		s.endHandover(simHandover{from, h.Call}, h.To.ID, scatter.Unreached)
+		return
+	}
+	s.calls++
+	call := *s.callsByID[h.Call]
+	call.engine, call.handover = to, &simHandover{from, h.Call}
+	s.callsByID[s.calls] = &call
+	s.later.Add(s.now.Add(simNetwork), s.arrival(s.calls, scatter.RequestArrived{
+		At: s.now, Budget: h.Deadline.Sub(s.now), FromHost: true, AllowStale: h.AllowStale, Repeat: h.Repeat,
+	}))
+}
+
+// endHandover reports the end of a handover to the host that began it.
+func (s *tier) endHandover(at simHandover, by core.HostID, outcome scatter.Outcome) {
+	e := s.engines[at.engine]
+	s.later.Add(s.now.Add(simNetwork), func() {
+		if e != nil && s.engines[at.engine] == e {
+			s.step(at.engine, scatter.HandoverEnded{Call: at.call, To: by, Outcome: outcome})
+		}
+	})
+}
+
+// arrival returns a function that passes a call's request to its host.
+func (s *tier) arrival(id core.CallID, request scatter.RequestArrived) func() {
+	call := s.callsByID[id]
+	request.Call, request.RequestID, request.Host, request.Path = id, fmt.Sprint("r-", id), "h.example", call.route.path
+	request.Fingerprint = core.FingerprintOf([]byte(request.RequestID))
+	return func() {
+		if s.engines[call.engine] != nil {
+			s.step(call.engine, request)
+		}
+	}
+}
+
 // serve simulates one request at an upstream.
 func (s *tier) serve(send scatter.Send) (time.Duration, scatter.Outcome) {
 	upstream := s.upstreams[send.Target.ID]
@@ -160,25 +271,38 @@
 func (s *tier) ask(path string, first time.Time, retried bool, result *simResult) {
 	s.calls++
 	route := s.routes[path]
-	call := &simCall{engine: s.random.IntN(len(s.engines)), route: route, first: first, retried: retried, result: result}
+	engine := s.random.IntN(len(s.engines))
+	for s.engines[engine] == nil {
+		engine = s.random.IntN(len(s.engines))
+	}
+	call := &simCall{engine: engine, route: route, first: first, retried: retried, result: result}
 	s.callsByID[s.calls] = call
 	if !retried {
 		result.asked++
 	}
-	s.step(call.engine, scatter.RequestArrived{
-		Call: s.calls, RequestID: fmt.Sprint("r-", s.calls), Host: "h.example", Path: path, At: s.now,
-		Budget: first.Add(route.deadline).Sub(s.now), Fingerprint: core.FingerprintOf([]byte(fmt.Sprint(s.calls))),
-	})
+	s.arrival(s.calls, scatter.RequestArrived{At: s.now, Budget: first.Add(route.deadline).Sub(s.now)})()
 }
 
 // answered counts an answer, or schedules the retry of a refused request.
 func (s *tier) answered(a scatter.Answer) {
 	call := s.callsByID[a.Call]
 	took := s.now.Sub(call.first)
+	served := a.Kind == scatter.Gathered || a.Kind == scatter.PassedOn
+	if call.handover != nil {
+		outcome := scatter.Failed
+		switch {
+		case served:
+			outcome = scatter.Succeeded
+		case a.Kind == scatter.Declined:
+			outcome = scatter.NotExecuted
+		}
+		s.endHandover(*call.handover, s.hosts[call.engine].ID, outcome)
+		return
+	}
 	switch {
-	case a.Kind == scatter.Gathered && took <= call.route.target:
+	case served && took <= call.route.target:
 		call.result.inTarget++
-	case a.Kind == scatter.Gathered:
+	case served:
 		call.result.late++
 	case a.Kind == scatter.Refused && !call.retried && took+a.RetryAfter < call.route.deadline:
 		s.later.Add(s.now.Add(a.RetryAfter), func() { s.ask(call.route.path, call.first, true, call.result) })
@@ -195,6 +319,9 @@
 	for {
 		next, engine := s.later.Next(), -1
 		for i, e := range s.engines {
+			if e == nil {
+				continue
+			}
 			if due := e.Next(); !due.IsZero() && (next.IsZero() || due.Before(next)) {
 				next, engine = due, i
 			}
