Refuse a queued request at once when no upstream may run it any more

Callers would have seen: a request that was queued at a host while its last upstreams left was refused at its deadline, not at once.

Cause: dispatchQueued marks such a part as exhausted, but only the events of the call itself (an answer, its timers) complete it, and the timer that bounds the wait in the queue looks at waiting parts only. The call is completed there now.

Ruled out: the timer of the queue; it fires, but the part no longer waits.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -304,6 +304,9 @@
 		}
 		p.waiting = false
 		e.send(now, p)
+		if p.exhausted {
+			e.tryComplete(now, p.call)
+		}
 	}
 }
 
--- a/core/scatter/single_test.go
+++ b/core/scatter/single_test.go
@@ -412,3 +412,25 @@
 		}
 	}
 }
+
+// TestQueuedRequestIsRefusedWhenItsUpstreamsLeave: a queued request that no upstream
+// may run any more waited for its deadline, since only its own events ended it.
+func TestQueuedRequestIsRefusedWhenItsUpstreamsLeave(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 2)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 20 * ms, scatter.Succeeded }
+	for range 2 {
+		r.ask(orderPath) // one at each upstream
+	}
+	r.run(ms)
+	queued, at := r.ask(orderPath), r.now
+	for _, u := range pair("orders") {
+		u.Draining = true
+		r.step(scatter.UpstreamSeen{Upstream: u})
+	}
+	r.run(2 * time.Second)
+	r.want(queued, scatter.Refused)
+	if took := r.answered[queued].Sub(at); took > 20*ms {
+		t.Errorf("refused after %v", took)
+	}
+}
