Divide a stated rate limit among hosts in fixed shares

Callers saw nothing.

Cause: no host read the limit; and had each host kept it, two hosts beside the upstream would still have sent twice the limit, and the hosts of other domains would have lost sight of it, since relays return the answer without its headers.

Why this works: 0.9 of the limit is divided in fixed shares among the first limit + 2 gatherers in an order of each upstream; shares depend on the registered hosts only, so they add up in any partition, restart or outage of the store. All other hosts together send one request in 4 s, to find out when the limit ends. Every send passes the one gate in directory.pick; the deciding host counts, relays return the limit and decline what was decided without it. Work over the limit goes to other upstreams, waits for a turn that comes in time, or is refused at once.

Ruled out on the way: a relay that enforced a limit for 10 s after it had heard it took hosts back to a limit that had ended; it now compares what both hosts last heard. Left: shares of hosts that are gone stay unused until their records are removed.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -61,6 +61,9 @@
 	// Via is the host that relays this send and the others of its call; the zero
 	// value is a direct send.
 	Via Host
+	// LimitKnownAt is as of when this host knows whether the upstream states a rate
+	// limit; the zero time if the upstream has not answered yet.
+	LimitKnownAt time.Time
 	// Top is how many of the greatest records of a gather's part can be in the
 	// answer; 0 for other requests.
 	Top int
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if e.reachableParts(now, c) < c.minParts() {
-		e.refuse(now, c, "too few services have an upstream")
+		e.refuse(now, c, e.unreachableReason(now, c))
 		return
 	}
 	if route.IsGather() {
@@ -142,6 +142,17 @@
 	return count
 }
 
+// unreachableReason says why a call has too few reachable parts.
+func (e *Engine) unreachableReason(now time.Time, c *call) string {
+	for _, p := range c.parts {
+		if e.limitWait(now, p) > 0 {
+			e.stats.LimitRefused++
+			return "the upstreams' rate limits leave no room"
+		}
+	}
+	return "too few services have an upstream"
+}
+
 // regionFilter returns a predicate for the failure domains that a route allows.
 func (e *Engine) regionFilter(r *Route) func(core.DomainID) bool {
 	return func(id core.DomainID) bool { return r.allowsRegion(e.options.Regions[id]) }
@@ -236,6 +247,7 @@
 		c.extras++
 	}
 	e.directory.recordColdSend(now, u, service)
+	u.limit.recordSend(now)
 	u.running = append(u.running, a)
 	p.tried = append(p.tried, u)
 	p.attempts = append(p.attempts, a)
@@ -254,6 +266,8 @@
 		Deadline:    c.deadline,
 		Repeatable:  c.route.Repeatable,
 		Version:     c.config.Version,
+
+		LimitKnownAt: u.limit.knownAt(now),
 	}
 	if c.route.IsGather() {
 		send.Top = c.route.TopRecords
@@ -284,6 +298,7 @@
 	}
 	p.waiting = true
 	e.queue(p.service).add(now, p)
+	e.wakeForLimit(now, p.service)
 	if p.call.route.IsGather() {
 		return
 	}
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -96,7 +96,11 @@
 	domainsOut map[core.DomainID]bool
 	self       core.HostID
 	domain     core.DomainID
-	hosts      []core.HostID
+	hosts      []core.HostID // the gatherers
+	// hostCount is the number of registered hosts, assumed until it is known.
+	// place is the index of this host among them, or hostCount if it is not
+	// registered.
+	hostCount, place int
 	// recentRemovals counts the entries that were removed since removalsSince
 	// without having been drained.
 	recentRemovals int
@@ -109,8 +113,11 @@
 	notices        *Notices
 }
 
-func newDirectory(self core.HostID, domain core.DomainID) *directory {
+func newDirectory(self core.HostID, domain core.DomainID, assumedHosts int) *directory {
 	return &directory{
+		hostCount: assumedHosts,
+		place:     assumedHosts,
+
 		byID:      map[core.UpstreamID]*upstream{},
 		byService: map[core.ServiceID][]*upstream{},
 		self:      self,
@@ -132,6 +139,7 @@
 		known := d.notices.Lookup(now, entry)
 		u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
 		u.limit = limitState{RateLimit: known.Limit, since: now, logged: known.Limit.PerSecond}
+		d.updateLimit(now, u, true)
 		d.byID[entry.ID] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
@@ -316,6 +324,10 @@
 			busy = busy || u.withheldUntil.Before(l.waitsUntil)
 			continue
 		}
+		if at := u.limit.allowedAt(); now.Before(at) {
+			busy = busy || at.Before(l.waitsUntil)
+			continue
+		}
 		if !l.reachable(u.Domain) || l.only != nil && u != l.only {
 			continue
 		}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -74,6 +74,10 @@
 	// LimitedRelayed and LimitedExtra are those of them that went through a relay
 	// and the hedges and retries.
 	LimitedSends, LimitedRelayed, LimitedExtra uint64
+	// Limited counts how often an upstream began to state a rate limit.
+	Limited uint64
+	// LimitRefused counts the requests refused because of stated rate limits.
+	LimitRefused uint64
 }
 
 // timerFunc is called when a timer is due.
@@ -139,7 +143,7 @@
 func New(options Options) *Engine {
 	return &Engine{
 		options:    options,
-		directory:  newDirectory(options.Self, options.Domain),
+		directory:  newDirectory(options.Self, options.Domain, options.AssumedHosts),
 		fleet:      newFleet(options.Self, options.Domain),
 		handovers:  map[core.CallID]*handover{},
 		calls:      map[core.CallID]*call{},
@@ -325,6 +329,11 @@
 	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
 		e.directory.hosts = append(e.directory.hosts, h.ID)
 	}
+	e.directory.hostCount = len(e.fleet.ranked)
+	e.directory.place = e.fleet.place()
+	for _, u := range e.directory.byID {
+		e.directory.updateLimit(now, u, false)
+	}
 	self := Host{ID: e.fleet.self, Domain: e.fleet.domain}
 	e.domains.set(now, self, e.fleet.ranked, e.fleet.localTargets(), e.fleet.role == Entry)
 	if !e.domainWatchStarted {
--- /dev/null
+++ b/core/scatter/export_test.go
@@ -0,0 +1,9 @@
+package scatter
+
+// For the tests in package scatter_test.
+const LimitBurst = limitBurst
+
+// LimitShare is limitShare.
+func LimitShare(limit float64, rank, gatherers, hosts int) float64 {
+	return limitShare(limit, rank, gatherers, hosts)
+}
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -145,7 +145,7 @@
 // roleOf returns a host's role. A host that is not in the list is a gatherer, so
 // that it can answer its own callers.
 func (f *fleet) roleOf(id core.HostID) Role {
-	at := slices.IndexFunc(f.ranked, func(h Host) bool { return h.ID == id })
+	at := f.indexOf(id)
 	switch {
 	case at < f.gatherers():
 		return Gatherer
@@ -156,6 +156,21 @@
 	}
 }
 
+// indexOf returns the index of a host in the order of RankHosts, -1 if it is not
+// registered.
+func (f *fleet) indexOf(id core.HostID) int {
+	return slices.IndexFunc(f.ranked, func(h Host) bool { return h.ID == id })
+}
+
+// place returns the index of this host, or the number of hosts if it is not
+// registered.
+func (f *fleet) place() int {
+	if at := f.indexOf(f.self); at >= 0 {
+		return at
+	}
+	return len(f.ranked)
+}
+
 // gatherers returns how many hosts send to upstreams in normal operation.
 func (f *fleet) gatherers() int { return min(f.strongHosts, maxGatherers) }
 
--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"iter"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
@@ -111,6 +112,15 @@
 	return Notice{Leaving: known.leaving, RetryAfter: max(0, known.until.Sub(now)), Limit: known.limit}
 }
 
+// LimitSince returns the limit that an upstream has stated after the given time.
+func (n *Notices) LimitSince(u Upstream, since time.Time) RateLimit {
+	known := n.byStart[noticeKeyOf(u)]
+	if !known.limitAt.After(since) {
+		return RateLimit{}
+	}
+	return known.limit
+}
+
 // Forbids reports whether no request may be sent to the upstream at present.
 func (n Notice) Forbids() bool { return n.Leaving || n.RetryAfter > 0 }
 
@@ -120,6 +130,7 @@
 	u, sentAt := a.to, time.Time{}
 	if r.Outcome == Succeeded || r.Outcome == Failed || r.Outcome == NotExecuted {
 		sentAt = a.sentAt
+		u.limit.answeredAt = now
 	}
 	if !e.directory.notices.Record(now, sentAt, u.Upstream, r.Notice) {
 		return
@@ -142,11 +153,27 @@
 // availableAt returns when the first upstream that may run a part and can be
 // reached accepts requests, according to the notices; false if there is none.
 func (e *Engine) availableAt(now time.Time, p *part) (at time.Time, found bool) {
-	reaches := e.reaches(now, p.call)
-	for _, u := range e.directory.byService[p.service] {
-		if e.directory.acceptsWork(u) && p.call.route.allowsRegion(e.options.Regions[u.Domain]) && reaches(u.Domain) && (!found || u.withheldUntil.Before(at)) {
-			at, found = u.withheldUntil, true
+	for u := range e.eligible(now, p) {
+		free := u.withheldUntil
+		if allowed := e.limitAllowsAt(now, u, p); allowed.After(free) {
+			free = allowed
+		}
+		if !found || free.Before(at) {
+			at, found = free, true
 		}
 	}
 	return at, found
 }
+
+// eligible returns the upstreams that may run a part and can be reached, whether
+// they accept requests now or later.
+func (e *Engine) eligible(now time.Time, p *part) iter.Seq[*upstream] {
+	reaches := e.reaches(now, p.call)
+	return func(yield func(*upstream) bool) {
+		for _, u := range e.directory.byService[p.service] {
+			if e.directory.acceptsWork(u) && p.call.route.allowsRegion(e.options.Regions[u.Domain]) && reaches(u.Domain) && !yield(u) {
+				return
+			}
+		}
+	}
+}
--- a/core/scatter/queue.go
+++ b/core/scatter/queue.go
@@ -26,6 +26,8 @@
 	// average of their duration.
 	running int
 	latency time.Duration
+	// wakesAt is when the queue is next drained because a rate limit allows it.
+	wakesAt time.Time
 }
 
 const (
@@ -167,6 +169,7 @@
 		if q := e.queue(p.service); len(q.parts) > 0 {
 			expected[i] = q.expectedWait(now, q.ahead(now, c))
 		}
+		expected[i] = max(expected[i], e.limitWait(now, p))
 	}
 	needed := slices.Sorted(slices.Values(expected))[c.minParts()-1]
 	left := max(0, time.Duration(e.admission.share*float64(c.answerAt.Sub(now))))
--- a/core/scatter/rate_limit_test.go
+++ b/core/scatter/rate_limit_test.go
@@ -132,3 +132,143 @@
 		})
 	}
 }
+
+// TestLimitSharesAddUp: hosts that take tokens as early as they may stay within a
+// limit together, whatever their number, with one host more than they know of.
+func TestLimitSharesAddUp(t *testing.T) {
+	for _, hosts := range []int{1, 2, 3, 8, 12, 30, 195, 4600} {
+		for _, limit := range []float64{0, 0.1, 0.5, 1, 2, 4, 10, 24.7, 100, 2340} {
+			gatherers := min(hosts, 12)
+			most, total := 0.0, 0.0
+			for rank := range hosts + 1 {
+				share := scatter.LimitShare(limit, rank, gatherers, hosts)
+				total += share
+				if burst := 1 + share*scatter.LimitBurst.Seconds(); rank < gatherers && share*limitWindow.Seconds() >= 1 {
+					most += burst
+				}
+			}
+			if most += limitWindow.Seconds() * total; most > limitTolerance*limit*limitWindow.Seconds()+limitSlack {
+				t.Errorf("%d hosts, limit %g: up to %.1f requests in %v", hosts, limit, most, limitWindow)
+			}
+			if total > limit+1 {
+				t.Errorf("%d hosts, limit %g: the shares add up to %.2f/s", hosts, limit, total)
+			}
+		}
+	}
+}
+
+// TestLimitedUpstreamIsUsed: under more load than a limit allows, most of the limit
+// is used, and the rest of the load is served elsewhere.
+func TestLimitedUpstreamIsUsed(t *testing.T) {
+	s := newTier(8, 10, simSweep, simQuick)
+	s.stateLimit(12, s.id(0, 0))
+	got := s.offer(60, 10*time.Second, simMix...)
+	if used := len(s.upstreams[s.id(0, 0)].arrivals); used < 60 {
+		t.Errorf("%d requests in 10 s at a limit of 12/s", used)
+	}
+	for path, r := range got {
+		if r.inTarget*10 < r.asked*9 {
+			t.Errorf("%s: %+v", path, *r)
+		}
+	}
+}
+
+// TestWorkOverTheLimitIsRefusedAtOnce: requests that no limit has room for wait for
+// nothing, do not run, and are told when to come back.
+func TestWorkOverTheLimitIsRefusedAtOnce(t *testing.T) {
+	for _, path := range []string{fetchPath, orderPath, gatherPath} {
+		r := newRig(t)
+		r.configure(1, 2)
+		r.notice = func(scatter.Send) scatter.Notice {
+			return scatter.Notice{Limit: scatter.RateLimit{Stated: true, PerSecond: 1}}
+		}
+		var calls []core.CallID
+		asked := map[core.CallID]time.Time{}
+		for range 100 {
+			call := r.ask(path)
+			calls, asked[call] = append(calls, call), r.now
+			r.run(20 * ms)
+		}
+		r.run(time.Second)
+		refused := 0
+		for _, call := range calls {
+			a := r.answers[call]
+			if a.Kind != scatter.Refused {
+				continue
+			}
+			refused++
+			if took := r.answered[call].Sub(asked[call]); took > 50*ms || a.RetryAfter <= 0 {
+				t.Errorf("%s: refused after %v, to come back in %v", path, took, a.RetryAfter)
+			}
+			for _, s := range r.sends {
+				if s.Call == call {
+					t.Errorf("%s: call %d was refused and sent", path, call)
+				}
+			}
+		}
+		if refused < 60 || refused == len(calls) {
+			t.Errorf("%s: %d of %d refused", path, refused, len(calls))
+		}
+	}
+}
+
+// TestLimitEndsWithTheStatement: the first answer without a limit to a later request
+// ends it; a slow answer to an earlier request does not.
+func TestLimitEndsWithTheStatement(t *testing.T) {
+	n := scatter.NewNotices()
+	u := pair("files")[0]
+	limit := scatter.RateLimit{Stated: true, PerSecond: 3}
+	at := func(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+	n.Record(at(2), at(1), u, scatter.Notice{Limit: limit})
+	if n.Record(at(3), at(1), u, scatter.Notice{}) || n.Lookup(at(3), u).Limit != limit {
+		t.Error("an answer to an earlier request ended the limit")
+	}
+	if n.Record(at(3), time.Time{}, u, scatter.Notice{}) {
+		t.Error("an attempt without an answer ended the limit")
+	}
+	if !n.Record(at(4), at(3), u, scatter.Notice{}) || n.Lookup(at(4), u).Limit.Stated {
+		t.Error("an answer without a limit did not end it")
+	}
+
+	r := newRig(t)
+	r.configure(1, 2)
+	r.notice = noticeFrom(scatter.Notice{Limit: scatter.RateLimit{Stated: true, PerSecond: 2}}, "files-a", "files-b")
+	ask := func(d time.Duration) (sent int) {
+		before := len(r.sends)
+		for end := r.now.Add(d); r.now.Before(end); r.run(50 * ms) {
+			r.ask(fetchPath)
+		}
+		return len(r.sends) - before
+	}
+	ask(time.Second)
+	if sent := ask(4 * time.Second); sent > 20 {
+		t.Errorf("%d requests in 4 s at two limits of 2/s", sent)
+	}
+	r.notice = nil
+	ask(time.Second)
+	if sent := ask(2 * time.Second); sent < 40 {
+		t.Errorf("%d of 40 requests were sent after the limits had ended", sent)
+	}
+}
+
+// TestSuccessorKeepsStatedLimits: an engine that replaces a failed one paces its
+// sends from the first one on.
+func TestSuccessorKeepsStatedLimits(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 2)
+	r.notice = noticeFrom(scatter.Notice{Limit: scatter.RateLimit{Stated: true}}, "files-a", "files-b")
+	r.ask(fetchPath)
+	r.ask(fetchPath)
+	r.run(time.Second)
+	r.engine = r.engine.Successor()
+	r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Cores: 1}}})
+	r.configure(1, 2)
+	before := len(r.sends)
+	for range 10 {
+		r.ask(fetchPath)
+		r.run(50 * ms)
+	}
+	if sent := len(r.sends) - before; sent > 0 {
+		t.Errorf("%d requests were sent at once", sent)
+	}
+}
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -24,6 +24,14 @@
 	return s.notices.Lookup(time.Now(), target)
 }
 
+// limitSince returns the limit that an upstream has stated to this host after the
+// given time.
+func (s noticeStore) limitSince(target scatter.Upstream, since time.Time) scatter.RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.notices.LimitSince(target, since)
+}
+
 // record stores a notice that arrived with the answer to a request sent at sentAt.
 func (s noticeStore) record(sentAt time.Time, from scatter.Upstream, notice scatter.Notice) {
 	s.mu.Lock()
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -131,3 +131,40 @@
 		t.Errorf("%d requests reached it within the retry delay", after-before)
 	}
 }
+
+// TestRelayedPartsKeepTheLimit checks that a limit that a server states to a relay
+// reaches the host that decides: with a part, and with one that the relay does not
+// send because that host does not know of the limit.
+func TestRelayedPartsKeepTheLimit(t *testing.T) {
+	t.Parallel()
+	cluster, hosts := newRelayCluster(t)
+	server := cluster.servers["shard0-0"]
+	server.SetHeaders("Server-Limit: 0\r\n")
+	target := scatter.Upstream{ID: "shard0-0", Address: server.Address(), Started: 1}
+	for _, relay := range hosts[2:] {
+		eventually(t, func() error {
+			hosts[1].request("GET", "/gather/x", fmt.Sprint("warm-", time.Now().UnixNano()), "")
+			relay.request("GET", "/gather/x", fmt.Sprint("own-", time.Now().UnixNano()), "")
+			if !relay.sender.notices.limitSince(target, time.Time{}).Stated {
+				return fmt.Errorf("%s knows of no limit", relay.platformSettings.Host)
+			}
+			return nil
+		})
+	}
+	limits := func(h *testHost) (count uint64) {
+		h.decision.query(func(e *scatter.Engine) { count = e.Stats().Limited })
+		return count
+	}
+	before := server.Arrived()
+	for i := range 40 {
+		if got := hosts[0].request("GET", "/gather/x", fmt.Sprint("r-", i), ""); got.status != http.StatusOK {
+			t.Errorf("status %d", got.status)
+		}
+	}
+	if after := server.Arrived(); limits(hosts[0]) == 0 || after > before {
+		t.Errorf("%d requests reached the server, %d limits are known", after-before, limits(hosts[0]))
+	}
+	if got := limits(hosts[1]); got != 1 {
+		t.Errorf("the host that first sent parts through the relays learned the limit %d times", got)
+	}
+}
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -297,15 +297,26 @@
 func (r upstreamRefs) encodeTarget(send scatter.Send) *edgepb.RelayTarget {
 	key := poolKeyOf(send.Target)
 	if ref, named := r[key]; named {
-		return &edgepb.RelayTarget{Ref: ref}
+		return &edgepb.RelayTarget{Ref: ref, LimitAgeUs: limitAge(send)}
 	}
 	ref := uint32(len(r) + 1)
 	r[key] = ref
 	return &edgepb.RelayTarget{
 		Ref: ref, Upstream: key.id, Address: key.address, Started: key.started, Connections: int32(send.Connections),
+		LimitAgeUs: limitAge(send),
 	}
 }
 
+// limitAge returns how long ago this host last learned whether the upstream of a
+// send states a rate limit, in microseconds; nil if it has not.
+func limitAge(send scatter.Send) *int64 {
+	if send.LimitKnownAt.IsZero() {
+		return nil
+	}
+	age := time.Since(send.LimitKnownAt).Microseconds()
+	return &age
+}
+
 // encodeRelay returns the request of a call to a relay.
 func encodeRelay(call *relayCall, refs upstreamRefs) *edgepb.RelayRequest {
 	m, first := call.request.Message, call.sends[0]
@@ -330,6 +341,9 @@
 		Took:    time.Duration(part.TookUs) * time.Microsecond,
 		Notice:  scatter.Notice{Leaving: part.Leaving},
 	}
+	if part.Limit != nil && *part.Limit >= 0 {
+		replied.Notice.Limit = scatter.RateLimit{Stated: true, PerSecond: *part.Limit}
+	}
 	if !replied.Outcome.Known() || replied.Outcome == scatter.Succeeded && part.Signature == "" {
 		replied.Outcome, replied.Cause = scatter.Lost, "the relay's answer makes no sense"
 	}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -164,6 +164,9 @@
 		}
 		sends[i] = r.targets[target.Ref]
 		sends[i].Deadline, sends[i].Top = deadline, max(0, int(request.Top))
+		if target.LimitAgeUs != nil {
+			sends[i].LimitKnownAt = time.Now().Add(-time.Duration(*target.LimitAgeUs) * time.Microsecond)
+		}
 	}
 	return sends
 }
@@ -191,9 +194,12 @@
 	if reply, ok := replied.Payload.(*platform.Reply); ok && replied.Outcome == scatter.Succeeded {
 		part.Signature, part.Records = reply.Part(keeper)
 	}
-	// Only the leaving notice is forwarded. A request to back off applies to this
-	// host only: the other host may send the part itself.
+	// A request to back off is not forwarded. It applies to this host only: the
+	// other host may send the part itself.
 	part.Leaving = replied.Notice.Leaving
+	if limit := replied.Notice.Limit; limit.Stated {
+		part.Limit = &limit.PerSecond
+	}
 	if replied.Outcome == scatter.Withheld {
 		part.Outcome = int32(scatter.NotRelayed)
 	}
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -71,8 +71,12 @@
 }
 
 // relay makes an attempt on behalf of another host, until ctx ends. It uses no
-// more connections to the upstream than the send allows.
+// more connections to the upstream than the send allows, and sends nothing if the
+// upstream has stated a rate limit here of which the other host does not know yet.
 func (s *sender) relay(ctx context.Context, send scatter.Send, forward *platform.Forward) scatter.AttemptEnded {
+	if limit := s.notices.limitSince(send.Target, send.LimitKnownAt); limit.Stated {
+		return scatter.AttemptEnded{Outcome: scatter.NotRelayed, Notice: scatter.Notice{Limit: limit}, Cause: "the upstream states a rate limit"}
+	}
 	if !s.pool.tryAcquire(send) {
 		return scatter.AttemptEnded{Outcome: scatter.NotRelayed, Cause: "all connections are in use"}
 	}
