Soak: two servers state a rate limit, and what they receive is checked

One of the two servers of a shard and one of those of the requests that must not run twice state a limit of 1 to 30 requests a second all along; the arrivals in each window of 4 s are checked against 1.5 times the limit plus 5, plus 3 for each signal to a host in or before the window (the rule excuses a host that was restarted or frozen altogether).

--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -101,6 +101,9 @@
 	crashTimes   []time.Time // starts of the requests that crashed the server
 	fault        Fault
 	extraHeaders string    // header lines added to each answer
+	limit        string    // the stated rate limit in requests per second, if any
+	limitedSince time.Time // when the limit was first stated
+	limited      []time.Time
 	endlessBytes int64     // bytes of endless answers written so far
 	pausedUntil  time.Time // no request starts to run before
 	waiting      int
@@ -203,6 +206,21 @@
 	s.extraHeaders = lines
 }
 
+// SetLimit makes the server state a rate limit in all answers from now on.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.limitedSince = strconv.FormatFloat(perSecond, 'f', -1, 64), time.Now()
+}
+
+// LimitedArrivals returns when the server began to state a rate limit, and the times
+// of the requests received since then.
+func (s *Server) LimitedArrivals() (since time.Time, arrivals []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limitedSince, slices.Clone(s.limited)
+}
+
 // EndlessBytes returns how many bytes of endless answers the kernel has
 // accepted for sending.
 func (s *Server) EndlessBytes() int64 {
@@ -294,6 +312,9 @@
 func (s *Server) answer(c net.Conn, r *http.Request, body string, fault Fault) bool {
 	s.mu.Lock()
 	s.arrived++
+	if s.limit != "" {
+		s.limited = append(s.limited, time.Now())
+	}
 	s.mu.Unlock()
 	expected := r.Header.Get("Expect-Instance")
 	switch {
@@ -397,6 +418,9 @@
 func (s *Server) headerLines() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.limit != "" {
+		return s.extraHeaders + "Server-Limit: " + s.limit + "\r\n"
+	}
 	return s.extraHeaders
 }
 
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -48,6 +48,8 @@
 	servers     []*server
 	fileServers []*serverstub.Server
 
+	limits map[string]float64 // of the servers that state one
+
 	mu        sync.Mutex
 	version   int
 	shardSets [][]string // shards of each version, beginning with version 1
@@ -71,6 +73,8 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
+	// disturbed is when the process was sent a signal.
+	disturbed []time.Time
 }
 
 func newFleet(program, folder string, hosts int) (*fleet, error) {
@@ -266,6 +270,7 @@
 	if h.process == nil {
 		return nil
 	}
+	h.disturbed = append(h.disturbed, time.Now())
 	_ = h.process.Process.Signal(s) // fails if the process has just ended
 	return h.ended
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -70,6 +70,7 @@
 		return Result{}, eris.New("the hosts do not become ready")
 	}
 	c := newChecker(f)
+	f.stateLimits(config.Seed)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range config.Callers {
@@ -88,6 +89,7 @@
 	callers.Wait()
 	time.Sleep(100 * time.Millisecond) // requests in flight at servers finish
 	c.checkOrders()
+	c.checkLimits()
 	return Result{Violations: c.violations, Answered: c.answered, Faults: j.injected}, nil
 }
 
