Log eras of the store and updates that are ignored

The hosts drop what the restored store lists without a word, so the logs cannot tell whether updates were dropped or never came.

--- a/edge/hub.go
+++ b/edge/hub.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/edgepb"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
@@ -21,12 +22,15 @@
 
 	mu             sync.Mutex
 	loaded         bool
-	revision       uint64
+	era, revision  uint64
 	objects        map[string]platform.Change
 	sources        int // sources that are up: the store reader and streams
 	storeUp        bool
 	onSourceChange func(up bool)
-	subscribers    map[*subscriber]struct{}
+	// onIgnored is called for an update of another era of the store that is ignored
+	// as not newer than the state at hand.
+	onIgnored   func(u platform.Update, at core.Position)
+	subscribers map[*subscriber]struct{}
 }
 
 // subscriber is the subscription of one host that follows this one.
@@ -38,6 +42,7 @@
 	return &hub{
 		feed: feed, deliver: deliver,
 		objects: map[string]platform.Change{}, subscribers: map[*subscriber]struct{}{},
+		onIgnored: func(platform.Update, core.Position) {},
 	}
 }
 
@@ -62,6 +67,9 @@
 		// Not newer than the state at hand. Two hosts that follow each other
 		// would otherwise forward a list of the same revision back and forth
 		// forever.
+		if u.Era != h.era {
+			h.onIgnored(u, core.Position{Era: h.era, Revision: h.revision})
+		}
 		return true
 	}
 	if u.Reset {
@@ -76,7 +84,7 @@
 	}
 	// If the delivery panics, loaded stays false and the full state is requested
 	// again.
-	h.loaded, h.revision = false, u.Revision
+	h.loaded, h.era, h.revision = false, u.Era, u.Revision
 	h.deliver(h.feed.Events(u))
 	h.loaded = true
 	h.publish(u)
@@ -107,12 +115,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &edgepb.FeedUpdate{Feed: h.feed.Name, Reset_: u.Reset, Base: u.Base, Revision: u.Revision, Changes: changes}, nil
+	return &edgepb.FeedUpdate{Feed: h.feed.Name, Reset_: u.Reset, Era: u.Era, Base: u.Base, Revision: u.Revision, Changes: changes}, nil
 }
 
 // fullUpdate returns the full state as one update. The caller holds h.mu.
 func (h *hub) fullUpdate() platform.Update {
-	u := platform.Update{Reset: true, Revision: h.revision, Changes: make([]platform.Change, 0, len(h.objects))}
+	u := platform.Update{Reset: true, Era: h.era, Revision: h.revision, Changes: make([]platform.Change, 0, len(h.objects))}
 	for _, c := range h.objects {
 		u.Changes = append(u.Changes, c)
 	}
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -118,6 +118,11 @@
 	} {
 		r.hubs[feed.Name] = newHub(feed, logAndDeliver)
 		r.hubs[feed.Name].onSourceChange = r.feedSourceChanged
+		r.hubs[feed.Name].onIgnored = func(u platform.Update, at core.Position) {
+			log.Info().Str("event", "update_ignored").Str("feed", feed.Name).Bool("whole", u.Reset).Int("changes", len(u.Changes)).
+				Uint64("era", u.Era).Uint64("revision", u.Revision).Uint64("known_era", at.Era).Uint64("known_revision", at.Revision).
+				Msg("an update is not newer than the known state")
+		}
 	}
 	r.hosts = r.hubs[platform.HostFeedName]
 	r.current.Store(&plan{self: self, active: true})
@@ -221,7 +226,7 @@
 	if err != nil {
 		return err
 	}
-	if !h.apply(platform.Update{Reset: message.Reset_, Base: message.Base, Revision: message.Revision, Changes: changes}) {
+	if !h.apply(platform.Update{Reset: message.Reset_, Era: message.Era, Base: message.Base, Revision: message.Revision, Changes: changes}) {
 		return eris.Errorf("feed %q: changes before revision %d are missing", message.Feed, message.Base)
 	}
 	return nil
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
 
@@ -50,19 +51,19 @@
 // run reads the feed until ctx ends.
 func (r *storeReader) run(ctx context.Context) {
 	defer r.hub.setStoreUp(false)
-	var revision uint64
+	var at core.Position
 	listed := false
 	for ctx.Err() == nil {
-		update, applied, err := r.poll(ctx, listed, revision)
+		update, applied, err := r.poll(ctx, listed, at)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
 			listed = false
-			r.log.Warn().Str("event", "store_history_gone").Str("feed", r.hub.feed.Name).Uint64("revision", revision).Msg("the store no longer holds the changes since this revision; listing again")
+			r.log.Warn().Str("event", "store_history_gone").Str("feed", r.hub.feed.Name).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("the store no longer holds the changes since this revision; listing again")
 		case err != nil:
 			r.failed(ctx, err)
 		default:
 			r.succeeded()
-			revision = update.Revision
+			at = update.Position()
 			listed = applied
 			r.hub.setStoreUp(true)
 			if len(update.Changes) > 0 {
@@ -74,9 +75,9 @@
 
 // poll makes one call and applies its result. applied is false if the update
 // does not follow on the state at hand, and a list is needed.
-func (r *storeReader) poll(ctx context.Context, listed bool, revision uint64) (update platform.Update, applied bool, err error) {
+func (r *storeReader) poll(ctx context.Context, listed bool, after core.Position) (update platform.Update, applied bool, err error) {
 	defer r.panics.recoverPanic("registry", "", func() { err = errUnexpected })
-	if update, err = r.call(ctx, listed, revision); err == nil {
+	if update, err = r.call(ctx, listed, after); err == nil {
 		applied = r.hub.apply(update)
 	}
 	return update, applied, err
@@ -84,7 +85,7 @@
 
 // call makes one list or watch call. While the store does not answer, watch
 // calls are short, so that its recovery is detected soon.
-func (r *storeReader) call(ctx context.Context, listed bool, revision uint64) (platform.Update, error) {
+func (r *storeReader) call(ctx context.Context, listed bool, after core.Position) (platform.Update, error) {
 	if listed {
 		wait := time.Duration(watchWaitShare * float64(r.contactTime))
 		if !r.up {
@@ -92,7 +93,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, wait+time.Duration(watchSlackShare*float64(r.contactTime)))
 		defer cancel()
-		return r.hub.feed.Watch(ctx, revision, wait)
+		return r.hub.feed.Watch(ctx, after, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(listTimeoutShare*float64(r.contactTime)))
 	defer cancel()
