Tests that fail: the state of a restored store is dropped as old

The stand-in of the store can be restored from its own past: a new era (Store-Era in all answers), the revisions of the copy, watches beyond it end with 410.

Stand-in: watches of a revision that does not exist yet got an empty answer before; they get 410 now, as the users' pages say.

--- /dev/null
+++ b/edge/restore_test.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/samphirebeam/samphirebeam/standin/platformstub"
+	"github.com/samphirebeam/samphirebeam/standin/serverstub"
+)
+
+// restore takes the store away for a moment and brings it back from a copy.
+func (cluster *testCluster) restore(age time.Duration) {
+	cluster.t.Helper()
+	if err := cluster.store.SetFaults(platformstub.Faults{Down: true}); err != nil {
+		cluster.t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	cluster.store.Restore(age)
+	if err := cluster.store.SetFaults(platformstub.Faults{}); err != nil {
+		cluster.t.Fatal(err)
+	}
+}
+
+// TestConfigurationAcknowledgedAfterRestoreIsNotInForce: a version that is written
+// after the store was restored is in force on all hosts within the contact time.
+func TestConfigurationAcknowledgedAfterRestoreIsNotInForce(t *testing.T) {
+	t.Parallel()
+	cluster := newTwoShardCluster(t)
+	cluster.addServer("new-files", "n-0", serverstub.Config{})
+	hosts := []*testHost{cluster.startHost("h1", 1), cluster.startHost("h2", 1), cluster.startHost("h3", 1), cluster.startHost("h4", 1), cluster.startHost("h5", 0.1)}
+	time.Sleep(100 * time.Millisecond)
+	copied := time.Now()
+	for range 3 {
+		cluster.configure("shard-b", "shard-a", "shard-b")
+		time.Sleep(300 * time.Millisecond)
+	}
+	cluster.restore(time.Since(copied))
+	time.Sleep(200 * time.Millisecond)
+	cluster.configure("new-files", "shard-a", "shard-b")
+	time.Sleep(contactTime)
+	for _, h := range hosts {
+		before := cluster.servers["n-0"].Arrived()
+		if got := h.request("GET", "/fetch/x", fmt.Sprint("r-", h.platformSettings.Host), ""); got.status != http.StatusOK {
+			t.Errorf("%s: status %d", h.platformSettings.Host, got.status)
+		}
+		if cluster.servers["n-0"].Arrived() == before {
+			t.Errorf("%s handles requests by an older version", h.platformSettings.Host)
+		}
+	}
+}
--- a/standin/platformstub/store.go
+++ b/standin/platformstub/store.go
@@ -13,6 +13,7 @@
 // history of their changes.
 type store struct {
 	mu                sync.Mutex
+	era               uint64 // begins at 1 and rises with each restore
 	revision          uint64
 	kinds             map[string]map[string]platform.StoredObject
 	history           []historyEntry
@@ -30,7 +31,7 @@
 }
 
 func newStore() *store {
-	return &store{kinds: map[string]map[string]platform.StoredObject{}, changed: make(chan struct{})}
+	return &store{era: 1, kinds: map[string]map[string]platform.StoredObject{}, changed: make(chan struct{})}
 }
 
 // list returns the objects of a kind whose names follow after, sorted by name,
@@ -157,15 +158,44 @@
 	s.changed = make(chan struct{})
 }
 
-// compact discards the history and wakes the watches.
+// compact makes the history unavailable to watches and wakes them. It is kept for
+// restore.
 func (s *store) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history, s.compactedRevision = nil, s.revision
+	s.compactedRevision = s.revision
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// restore goes back to the state at a time, in a new era, and wakes the watches.
+func (s *store) restore(asOf time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := len(s.history)
+	for kept > 0 && s.history[kept-1].at.After(asOf) {
+		kept--
+	}
+	for at := len(s.history) - 1; at >= kept; at-- {
+		s.revert(s.kinds[s.history[at].kind], s.history[at].kind, at)
+	}
+	s.history = s.history[:kept]
+	s.era++
+	s.revision = 0
+	if kept > 0 {
+		s.revision = s.history[kept-1].revision
+	}
+	s.compactedRevision = min(s.compactedRevision, s.revision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // wakeWatches makes the waiting watches check for changes and faults.
 func (s *store) wakeWatches() {
 	s.mu.Lock()
@@ -180,7 +210,7 @@
 func (s *store) changesSince(kind string, after uint64) (changes []platform.Change, revision uint64, changed <-chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return nil, 0, nil, true
 	}
 	for _, r := range s.history {
@@ -194,10 +224,14 @@
 // watch waits for changes of a kind until the wait has passed, the context ends
 // or interrupted returns true, which it checks after each wake-up.
 func (s *store) watch(ctx context.Context, kind string, after uint64, wait time.Duration, interrupted func() bool) (changes []platform.Change, revision uint64, gone bool) {
+	era := s.currentEra()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		changes, revision, changed, gone := s.changesSince(kind, after)
+		if s.currentEra() != era {
+			return nil, 0, true // the store was restored under the watch
+		}
 		if len(changes) > 0 || gone || interrupted() {
 			return changes, revision, gone
 		}
--- a/standin/platformstub/stub.go
+++ b/standin/platformstub/stub.go
@@ -110,7 +110,10 @@
 }
 
 // ServeHTTP serves the object API, the control of the faults and the counters.
-func (s *Stub) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Stub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.store.currentEra(), 10))
+	s.mux.ServeHTTP(w, r)
+}
 
 // Put creates or replaces an object without a call, so that no fault applies.
 func (s *Stub) Put(kind, name string, spec any) error {
@@ -132,6 +135,10 @@
 // fail.
 func (s *Stub) Compact() { s.store.compact() }
 
+// Restore goes back to a copy of the store that is as old as age. It begins a new
+// era, in which the revisions since then are given out again.
+func (s *Stub) Restore(age time.Duration) { s.store.restore(time.Now().Add(-age)) }
+
 // SetFaults replaces the faults. It returns an error if a duration cannot be
 // parsed.
 func (s *Stub) SetFaults(f Faults) error {
--- a/standin/platformstub/stub_test.go
+++ b/standin/platformstub/stub_test.go
@@ -82,3 +82,41 @@
 		t.Errorf("got stats %s", got)
 	}
 }
+
+// TestRestore checks that a restored store has the state of its copy, gives revisions
+// out again in a new era, and has no history beyond the copy.
+func TestRestore(t *testing.T) {
+	stub := New()
+	put := func(name, spec string) {
+		if err := stub.Put("lease", name, spec); err != nil {
+			t.Fatal(err)
+		}
+	}
+	get := func(path string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		stub.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w
+	}
+	put("a", "old")
+	put("b", "old")
+	time.Sleep(60 * time.Millisecond)
+	put("a", "new")
+	put("c", "new")
+	stub.Remove("lease", "b")
+	stub.Compact()
+	stub.Restore(40 * time.Millisecond)
+	list := get("/objects/lease")
+	if body := list.Body.String(); strings.Count(body, `"old"`) != 2 || strings.Contains(body, "new") || !strings.Contains(body, `"store_revision":2`) {
+		t.Errorf("got %s", body)
+	}
+	if era := list.Header().Get("Store-Era"); era != "2" {
+		t.Errorf("era %q", era)
+	}
+	if w := get("/objects/lease?watch=5&wait_ms=1"); w.Code != http.StatusGone {
+		t.Errorf("a watch beyond the copy: status %d", w.Code)
+	}
+	put("d", "newer")
+	if w := get("/objects/lease?watch=2&wait_ms=1"); !strings.Contains(w.Body.String(), `"revision":3`) {
+		t.Errorf("got %s", w.Body.String())
+	}
+}
