Order updates of the store by era and revision

Cause: updates of a feed were ordered by the store's revision alone. A restored store goes back and gives revisions out again, so its lists were dropped as old, what it wrote was dropped until the old count was passed, and changes of the new era could be applied to the state of the old one. Class: a counter of somebody else taken as a clock that never goes back.

Change: FeedCursor (core, without I/O) orders by era, then revision. An update of a newer era replaces everything or asks for the whole state; one of an older era, from a host that lags behind, is ignored.

--- a/edge/hub.go
+++ b/edge/hub.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/edgepb"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
@@ -21,8 +22,7 @@
 	deliver func(platform.EventBatch)
 
 	mu             sync.Mutex
-	loaded         bool
-	era, revision  uint64
+	cursor         scatter.FeedCursor
 	objects        map[string]platform.Change
 	sources        int // sources that are up: the store reader and streams
 	storeUp        bool
@@ -50,7 +50,7 @@
 func (h *hub) redeliver() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.loaded {
+	if h.isLoadedLocked() {
 		h.deliver(h.feed.Events(h.fullUpdate()))
 	}
 }
@@ -60,15 +60,16 @@
 func (h *hub) apply(u platform.Update) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case !u.Reset && (!h.loaded || u.Base > h.revision):
+	step := u.Step()
+	decision, _ := h.cursor.Decide(step)
+	switch decision {
+	case scatter.RequestReset:
 		return false
-	case h.loaded && u.Revision <= h.revision:
-		// Not newer than the state at hand. Two hosts that follow each other
-		// would otherwise forward a list of the same revision back and forth
-		// forever.
-		if u.Era != h.era {
-			h.onIgnored(u, core.Position{Era: h.era, Revision: h.revision})
+	case scatter.IgnoreUpdate:
+		// Two hosts that follow each other would otherwise forward a list of the
+		// same revision back and forth forever.
+		if at, _ := h.cursor.Position(); u.Era != at.Era {
+			h.onIgnored(u, at)
 		}
 		return true
 	}
@@ -82,11 +83,10 @@
 			h.objects[c.Object.Meta.Name] = c
 		}
 	}
-	// If the delivery panics, loaded stays false and the full state is requested
-	// again.
-	h.loaded, h.era, h.revision = false, u.Era, u.Revision
+	// If the delivery panics, the full state is requested again.
+	h.cursor.Invalidate()
 	h.deliver(h.feed.Events(u))
-	h.loaded = true
+	h.cursor.Advance(step)
 	h.publish(u)
 	return true
 }
@@ -120,7 +120,8 @@
 
 // fullUpdate returns the full state as one update. The caller holds h.mu.
 func (h *hub) fullUpdate() platform.Update {
-	u := platform.Update{Reset: true, Era: h.era, Revision: h.revision, Changes: make([]platform.Change, 0, len(h.objects))}
+	at, _ := h.cursor.Position()
+	u := platform.Update{Reset: true, Era: at.Era, Revision: at.Revision, Changes: make([]platform.Change, 0, len(h.objects))}
 	for _, c := range h.objects {
 		u.Changes = append(u.Changes, c)
 	}
@@ -132,7 +133,7 @@
 func (h *hub) snapshot() (*edgepb.FeedUpdate, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded {
+	if !h.isLoadedLocked() {
 		return nil, nil
 	}
 	return h.encode(h.fullUpdate())
@@ -143,7 +144,7 @@
 func (h *hub) subscribe() (*subscriber, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded || !h.storeUp {
+	if !h.isLoadedLocked() || !h.storeUp {
 		return nil, nil
 	}
 	full, err := h.encode(h.fullUpdate())
@@ -191,7 +192,12 @@
 func (h *hub) isLoaded() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.loaded
+	return h.isLoadedLocked()
+}
+
+func (h *hub) isLoadedLocked() bool {
+	_, loaded := h.cursor.Position()
+	return loaded
 }
 
 // isStoreUp reports whether this host's own store reader works.
--- a/edge/panics_test.go
+++ b/edge/panics_test.go
@@ -119,9 +119,11 @@
 func TestPanicInPeerCall(t *testing.T) {
 	t.Parallel()
 	m := newHostMetrics()
+	broken := &hub{} // has a state and no feed to encode it
+	broken.cursor.Advance(scatter.FeedUpdate{Reset: true, Revision: 1})
 	h := &Host{
 		metrics: m, panics: &panicHandler{log: zerolog.Nop(), count: m.panics},
-		registry: &registry{hubs: map[string]*hub{"broken": {loaded: true}}},
+		registry: &registry{hubs: map[string]*hub{"broken": broken}},
 	}
 	listener, err := net.Listen("tcp", freeAddress(t))
 	if err != nil {
