Keep hosts that a restored store lost until they register again

Ranks, roles and shares change hands twice, and a host without a record takes itself for a gatherer with as large a share of the extra sends as those that are listed.

Change: hosts known before a restore stay in force for 5 s beside those listed (retained), and a host that misses its record in the state of a restored store registers at once, not after 5 s.

--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -37,6 +37,7 @@
 	config    *Config
 	directory *directory
 	fleet     *fleet
+	hosts     retained[core.HostID, Host]
 	handovers map[core.CallID]*handover
 	// aloneUntil is until when this host stays ready to answer requests itself,
 	// after no other host accepted one.
@@ -255,7 +256,7 @@
 	case DomainsOut:
 		e.setDomains(event.Domains)
 	case HostsSeen:
-		e.setHosts(now, event.Hosts)
+		e.listHosts(now, event)
 	case HandoverEnded:
 		e.handleHandoverEnd(now, event)
 	case HostAlive:
@@ -321,6 +322,19 @@
 	e.note(Note{Decision: DecisionDomains, Version: e.Version(), Detail: joinNames(names)})
 }
 
+// listHosts applies a list of the hosts. While hosts that the store lost register
+// again, they keep their roles and shares.
+func (e *Engine) listHosts(now time.Time, event HostsSeen) {
+	listed := make(map[core.HostID]Host, len(event.Hosts))
+	for _, h := range event.Hosts {
+		listed[h.ID] = h
+	}
+	e.setHosts(now, slices.Collect(maps.Values(e.hosts.list(now, listed, event.Restored))))
+	if event.Restored {
+		e.timers.Add(e.hosts.until, func(now time.Time) { e.setHosts(now, slices.Collect(maps.Values(e.hosts.inForce(now)))) })
+	}
+}
+
 func (e *Engine) setHosts(now time.Time, hosts []Host) {
 	if !e.fleet.set(hosts) {
 		return
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -72,7 +72,12 @@
 type DomainsOut struct{ Domains map[core.DomainID]bool }
 
 // HostsSeen is the list of all hosts of the tier.
-type HostsSeen struct{ Hosts []Host }
+type HostsSeen struct {
+	Hosts []Host
+	// Restored is true if the list is from a store that was restored from an older
+	// copy: hosts that registered since the copy may be missing.
+	Restored bool
+}
 
 // HandoverEnded is the end of a handover.
 type HandoverEnded struct {
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -29,7 +29,9 @@
 	onSourceChange func(up bool)
 	// onIgnored is called for an update of another era of the store that is ignored
 	// as not newer than the state at hand.
-	onIgnored   func(u platform.Update, at core.Position)
+	onIgnored func(u platform.Update, at core.Position)
+	// onRestored is called when the state of a restored store was applied.
+	onRestored  func(at core.Position)
 	subscribers map[*subscriber]struct{}
 }
 
@@ -42,7 +44,7 @@
 	return &hub{
 		feed: feed, deliver: deliver,
 		objects: map[string]platform.Change{}, subscribers: map[*subscriber]struct{}{},
-		onIgnored: func(platform.Update, core.Position) {},
+		onIgnored: func(platform.Update, core.Position) {}, onRestored: func(core.Position) {},
 	}
 }
 
@@ -61,7 +63,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	step := u.Step()
-	decision, _ := h.cursor.Decide(step)
+	decision, restored := h.cursor.Decide(step)
 	switch decision {
 	case scatter.RequestReset:
 		return false
@@ -73,6 +75,7 @@
 		}
 		return true
 	}
+	u.Restored = restored
 	if u.Reset {
 		clear(h.objects)
 	}
@@ -88,9 +91,20 @@
 	h.deliver(h.feed.Events(u))
 	h.cursor.Advance(step)
 	h.publish(u)
+	if restored {
+		h.onRestored(u.Position())
+	}
 	return true
 }
 
+// contains reports whether the state has an object.
+func (h *hub) contains(name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, found := h.objects[name]
+	return found
+}
+
 // publish queues an update for all followers. The caller holds h.mu.
 func (h *hub) publish(u platform.Update) {
 	if len(h.subscribers) == 0 {
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +84,9 @@
 	hosts       *hub
 	// firstStart is true when the whole tier starts for the first time.
 	firstStart bool
+	// hostsRestored is set when the list of hosts comes from a restored store, and
+	// cleared once this host is known to be in it.
+	hostsRestored atomic.Bool
 	// onHostSeen is called for each message from a followed host, onSilentHosts
 	// with each list of silent hosts that such a host reports.
 	onHostSeen    func(core.HostID)
@@ -123,6 +125,13 @@
 				Uint64("era", u.Era).Uint64("revision", u.Revision).Uint64("known_era", at.Era).Uint64("known_revision", at.Revision).
 				Msg("an update is not newer than the known state")
 		}
+		r.hubs[feed.Name].onRestored = func(at core.Position) {
+			log.Warn().Str("event", "store_restored").Str("feed", feed.Name).Uint64("era", at.Era).Uint64("revision", at.Revision).
+				Msg("the store was restored from an older copy")
+			if feed.Name == platform.HostFeedName {
+				r.hostsRestored.Store(true)
+			}
+		}
 	}
 	r.hosts = r.hubs[platform.HostFeedName]
 	r.current.Store(&plan{self: self, active: true})
@@ -329,7 +338,7 @@
 		w.startReaders(ctx)
 	}
 	w.adjustStreams(ctx, p)
-	w.reregister(ctx, p)
+	w.reregister(ctx)
 	if p.active && time.Since(w.lastFetch) > fetchInterval && !r.allFeedsLoaded() && w.fetching.CompareAndSwap(false, true) {
 		w.lastFetch = time.Now()
 		w.tasks.Go(func() {
@@ -356,18 +365,27 @@
 // before it registers again.
 const reregisterDelay = 5 * time.Second
 
-// reregister stores this host's record again if another host removed it.
-func (w *registrySupervisor) reregister(ctx context.Context, p *plan) {
-	listed := slices.ContainsFunc(p.ranked, func(h scatter.Host) bool { return h.ID == p.self.ID })
+// reregister stores this host's record again if another host removed it, or at once
+// if the store lost it.
+func (w *registrySupervisor) reregister(ctx context.Context) {
+	r := w.registry
+	delay := reregisterDelay
+	if r.hostsRestored.Load() {
+		delay = 0
+	}
 	switch {
-	case listed || len(p.ranked) == 0:
+	case !r.hosts.isLoaded():
+		w.unlistedSince = time.Time{}
+	case r.hosts.contains(string(r.self.ID)):
+		r.hostsRestored.Store(false)
 		w.unlistedSince = time.Time{}
 	case w.unlistedSince.IsZero():
 		w.unlistedSince = time.Now()
-	case time.Since(w.unlistedSince) > reregisterDelay:
+	case time.Since(w.unlistedSince) > delay:
 		w.unlistedSince = time.Now()
-		w.registry.log.Warn().Str("event", "register_again").Msg("this host is missing from the list of hosts; registering again")
-		w.tasks.Go(func() { w.registry.register(ctx) })
+		r.hostsRestored.Store(false)
+		r.log.Warn().Str("event", "register_again").Msg("this host is missing from the list of hosts; registering again")
+		w.tasks.Go(func() { r.register(ctx) })
 	}
 }
 
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -11,13 +11,13 @@
 )
 
 // restore takes the store away for a moment and brings it back from a copy.
-func (cluster *testCluster) restore(age time.Duration) {
+func (cluster *testCluster) restore(copied time.Time) {
 	cluster.t.Helper()
 	if err := cluster.store.SetFaults(platformstub.Faults{Down: true}); err != nil {
 		cluster.t.Fatal(err)
 	}
 	time.Sleep(300 * time.Millisecond)
-	cluster.store.Restore(age)
+	cluster.store.Restore(time.Since(copied))
 	if err := cluster.store.SetFaults(platformstub.Faults{}); err != nil {
 		cluster.t.Fatal(err)
 	}
@@ -36,7 +36,7 @@
 		cluster.configure("shard-b", "shard-a", "shard-b")
 		time.Sleep(300 * time.Millisecond)
 	}
-	cluster.restore(time.Since(copied))
+	cluster.restore(copied)
 	time.Sleep(200 * time.Millisecond)
 	cluster.configure("new-files", "shard-a", "shard-b")
 	time.Sleep(contactTime)
@@ -50,3 +50,32 @@
 		}
 	}
 }
+
+// TestHostsLostByARestoreRegisterAgain: hosts that registered after the copy was made
+// write their records again within the contact time.
+func TestHostsLostByARestoreRegisterAgain(t *testing.T) {
+	t.Parallel()
+	cluster := newTwoShardCluster(t)
+	hosts := []*testHost{cluster.startHost("h1", 1), cluster.startHost("h2", 1)}
+	copied := time.Now()
+	for _, name := range []string{"h3", "h4", "h5"} {
+		hosts = append(hosts, cluster.startHost(name, 1))
+	}
+	eventually(t, func() error { return hosts[0].wantRegistered(hosts) })
+	cluster.restore(copied)
+	time.Sleep(contactTime)
+	for _, h := range hosts {
+		if err := h.wantRegistered(hosts); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func (h *testHost) wantRegistered(hosts []*testHost) error {
+	for _, other := range hosts {
+		if name := string(other.platformSettings.Host); !h.registry.hosts.contains(name) {
+			return fmt.Errorf("%s: %s has no record", h.platformSettings.Host, name)
+		}
+	}
+	return nil
+}
