Keep the quarantine when the store loses what hosts found

What would happen: a request that crashes upstreams is quarantined by what hosts stored. A restored store has lost the newest findings; the hosts take the list for the truth, forget what others found, and none of them writes again, so the request runs on upstreams once more.

Change: after a restore a host keeps findings that are enough for a quarantine as its own, and compares its report with what the restored store holds, not with what it wrote itself, so that it stores it again.

Looked at: a conditional write with the revision of the lost record is refused with the current one and repeated, as before. A price: a finding that another host has taken back within the lost seconds stays in force until it expires.

--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -153,7 +153,12 @@
 
 // SuspectsSeen lists the findings of all hosts, including this one. It replaces
 // the previous list.
-type SuspectsSeen struct{ ByHost map[core.HostID][]Suspect }
+type SuspectsSeen struct {
+	ByHost map[core.HostID][]Suspect
+	// Restored is true if the list is from a store that was restored from an older
+	// copy: newer findings are missing.
+	Restored bool
+}
 
 // StoreReachable reports whether this host can reach the registry of upstreams.
 type StoreReachable struct{ Reachable bool }
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -190,9 +190,27 @@
 	return !known
 }
 
+// adopt makes the findings of other hosts this host's own where they are enough for a
+// quarantine. The store may have lost them together with the hosts that found them.
+func (q *quarantine) adopt() {
+	for _, s := range q.suspects {
+		if len(s.crashes) < quarantineAfter {
+			continue
+		}
+		for _, e := range s.crashes {
+			e.seenHere = true
+		}
+	}
+}
+
 // merge replaces the findings of other hosts by those that are stored. This host's
-// own stored findings are added the first time only.
-func (q *quarantine) merge(now time.Time, byHost map[core.HostID][]Suspect) (found []finding) {
+// own stored findings are added the first time only. After a restore of the store,
+// what it has lost is published again.
+func (q *quarantine) merge(now time.Time, byHost map[core.HostID][]Suspect, restored bool) (found []finding) {
+	if restored {
+		q.adopt()
+		q.published = byHost[q.self]
+	}
 	for _, s := range q.suspects {
 		for _, e := range s.crashes {
 			e.reported = false
@@ -330,8 +348,11 @@
 
 // handleSuspects handles the stored findings of all hosts.
 func (e *Engine) handleSuspects(now time.Time, seen SuspectsSeen) {
-	e.reportFindings(now, e.quarantine.merge(now, seen.ByHost))
+	e.reportFindings(now, e.quarantine.merge(now, seen.ByHost, seen.Restored))
 	e.publishSuspects(now, false)
+	if seen.Restored {
+		e.sweepSuspects(now)
+	}
 }
 
 // reportFindings logs and counts new findings, and publishes those of this host.
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"encoding/hex"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/standin/platformstub"
 	"github.com/samphirebeam/samphirebeam/standin/serverstub"
 )
@@ -79,3 +81,29 @@
 	}
 	return nil
 }
+
+// TestSuspectsLostByARestoreAreStoredAgain: findings that the store lost are stored
+// again, for hosts that start later, also if the host that found them is gone.
+func TestSuspectsLostByARestoreAreStoredAgain(t *testing.T) {
+	t.Parallel()
+	cluster := newTwoShardCluster(t)
+	cluster.startHost("h1", 1)
+	copied := time.Now()
+	ended := []any{map[string]any{"id": "x-1"}, map[string]any{"id": "x-2"}}
+	fingerprint := core.FingerprintOf([]byte("deadly"))
+	question := map[string]any{"fingerprint": hex.EncodeToString(fingerprint[:]), "ended": ended}
+	cluster.put("samphirebeam-suspects", "gone", map[string]any{"questions": []any{question}})
+	time.Sleep(contactTime)
+	cluster.restore(copied)
+	eventually(t, func() error {
+		response, err := http.Get("http://" + cluster.address + "/objects/samphirebeam-suspects/h1")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("h1 has stored nothing: status %d", response.StatusCode)
+		}
+		return nil
+	})
+}
