Hold back entries of a restored store that show upstreams as they were

What would happen: a restored store lists servers as of the copy. One that drains is ready again, one that has left is back, one that has restarted is at its earlier start (and warm), one that registered since is missing; hosts would send to the first two and drop the last one, until each has written again.

Change: for 5 s after a restore, entries that contradict a newer belief (an earlier start, ready where the start drains, a start that left within a minute) are held back. What is written or removed meanwhile replaces them; what nobody has corrected then applies. Missing entries are kept for the grace period as after an outage.

TestRestoredEntriesBringUpstreamsBack failed before (sends to the draining upstream, 'counts as started at 0', a registered one 'gets nothing').

--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -111,6 +112,7 @@
 	graceEnds      time.Time
 	pendingGrace   []*upstream
 	notices        *Notices
+	restored       restoredEntries
 }
 
 func newDirectory(self core.HostID, domain core.DomainID, assumedHosts int) *directory {
@@ -129,9 +131,10 @@
 
 // put adds or updates an entry. It returns the decision to log, if any.
 func (d *directory) put(now time.Time, entry Upstream) Decision {
+	d.restored.recordEntry(entry)
 	u := d.byID[entry.ID]
 	if u != nil && (u.Started != entry.Started || u.Address != entry.Address || u.Service != entry.Service) {
-		d.drop(u)
+		d.drop(now, u)
 		u = nil
 	}
 	if u == nil {
@@ -167,8 +170,9 @@
 func byID(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) }
 
 // drop removes an upstream. Attempts that run there continue.
-func (d *directory) drop(u *upstream) {
+func (d *directory) drop(now time.Time, u *upstream) {
 	u.removed = true
+	d.restored.recordRemoval(now, u.Start())
 	delete(d.byID, u.ID)
 	list := d.byService[u.Service]
 	if at, found := slices.BinarySearchFunc(list, u, byID); found {
@@ -182,6 +186,7 @@
 // remove handles the removal of an entry. If the entry may have expired although
 // the upstream still runs, the upstream is kept for the grace period.
 func (d *directory) remove(now time.Time, id core.UpstreamID) (*upstream, Decision) {
+	delete(d.restored.held, id)
 	u := d.byID[id]
 	if u == nil {
 		return nil, ""
@@ -190,7 +195,7 @@
 		d.keepForGrace(now, u)
 		return u, DecisionUpstreamKept
 	}
-	d.drop(u)
+	d.drop(now, u)
 	return u, DecisionUpstreamRemoved
 }
 
@@ -221,11 +226,20 @@
 }
 
 // list replaces all entries. Upstreams without an entry are removed, or kept for
-// the grace period if their entries may have expired.
-func (d *directory) list(now time.Time, entries []Upstream, note func(*upstream, Decision)) {
+// the grace period if their entries may have expired. Restored is true if the
+// registry was restored from an older copy.
+func (d *directory) list(now time.Time, entries []Upstream, restored bool, note func(*upstream, Decision)) {
+	if restored {
+		d.graceEnds = now.Add(entryGrace)
+		d.restored.begin(now)
+	}
 	present := make(map[core.UpstreamID]bool, len(entries))
 	for _, entry := range entries {
 		present[entry.ID] = true
+		if d.isOutdated(now, entry) {
+			d.restored.held[entry.ID] = entry
+			continue
+		}
 		if decision := d.put(now, entry); decision != "" {
 			note(d.byID[entry.ID], decision)
 		}
@@ -267,6 +281,33 @@
 	return !d.reachable && now.Sub(d.reachableAt) > staleAfter
 }
 
+// isOutdated reports whether an entry of a registry that was restored from an older
+// copy shows an upstream as it was before a change that is known here.
+func (d *directory) isOutdated(now time.Time, entry Upstream) bool {
+	if !d.restored.active(now) {
+		return false
+	}
+	u := d.byID[entry.ID]
+	if u == nil {
+		return d.restored.wasRemoved(now, entry.Start())
+	}
+	return entry.Started < u.Started || entry.Started == u.Started && u.Draining && !entry.Draining
+}
+
+// acceptHeld applies the outdated entries that nobody has corrected until the end of
+// the restore grace period.
+func (d *directory) acceptHeld(now time.Time, note func(*upstream, Decision)) {
+	if d.restored.active(now) {
+		return // restored once more
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.restored.held)) {
+		if decision := d.put(now, d.restored.held[id]); decision != "" {
+			note(d.byID[id], decision)
+		}
+	}
+	d.restored.held = nil
+}
+
 // expire removes the upstreams whose entries are still missing when the grace
 // period ends.
 func (d *directory) expire(now time.Time, note func(*upstream, Decision)) {
@@ -275,7 +316,7 @@
 	}
 	for _, u := range d.pendingGrace {
 		if !u.missingSince.IsZero() && !u.removed {
-			d.drop(u)
+			d.drop(now, u)
 			note(u, DecisionUpstreamRemoved)
 		}
 	}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -242,8 +242,11 @@
 	case ConfigSeen:
 		e.setConfig(event.Config)
 	case UpstreamsListed:
-		e.directory.list(now, event.Upstreams, e.noteUpstream)
+		e.directory.list(now, event.Upstreams, event.Restored, e.noteUpstream)
 		e.startGraceTimer(now)
+		if event.Restored {
+			e.timers.Add(e.directory.restored.until, func(now time.Time) { e.directory.acceptHeld(now, e.noteUpstream) })
+		}
 	case UpstreamSeen:
 		if decision := e.directory.put(now, event.Upstream); decision != "" {
 			e.noteUpstream(e.directory.byID[event.Upstream.ID], decision)
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -60,7 +60,12 @@
 type ConfigSeen struct{ Config *Config }
 
 // UpstreamsListed is the whole list of registered upstreams.
-type UpstreamsListed struct{ Upstreams []Upstream }
+type UpstreamsListed struct {
+	Upstreams []Upstream
+	// Restored is true if the list is from a store that was restored from an older
+	// copy: some upstreams are missing, others are listed as they were.
+	Restored bool
+}
 
 // UpstreamSeen is the new or changed entry of one upstream.
 type UpstreamSeen struct{ Upstream Upstream }
--- a/core/scatter/restore.go
+++ b/core/scatter/restore.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
 )
 
 // restoreGrace is how long after the store was restored from an older copy what was
@@ -39,3 +41,56 @@
 	maps.Copy(all, r.listed)
 	return all
 }
+
+// restoredEntries protects the list of upstreams from entries of a restored registry
+// that show them as they were: ready although they drain, at an earlier start, or
+// registered although they have left.
+type restoredEntries struct {
+	until time.Time
+	// held are such entries, which apply if nothing else is known of them until the
+	// end of the grace period.
+	held map[core.UpstreamID]Upstream
+	// removed holds the starts that have left, and since when.
+	removed map[UpstreamStart]time.Time
+}
+
+const (
+	// removalMemory is how long a removed start is remembered. The copy from which
+	// the registry is restored is some seconds old.
+	removalMemory = time.Minute
+	// maxRemovals bounds the number of removed starts that are remembered.
+	maxRemovals = 8192
+)
+
+// begin starts the grace period after a restore.
+func (r *restoredEntries) begin(now time.Time) {
+	r.until = now.Add(restoreGrace)
+	r.held = map[core.UpstreamID]Upstream{}
+}
+
+// active reports whether the registry was restored recently.
+func (r *restoredEntries) active(now time.Time) bool { return now.Before(r.until) }
+
+// recordRemoval records that a start of an upstream has left the registry.
+func (r *restoredEntries) recordRemoval(now time.Time, start UpstreamStart) {
+	if r.removed == nil {
+		r.removed = map[UpstreamStart]time.Time{}
+	}
+	if len(r.removed) >= maxRemovals {
+		maps.DeleteFunc(r.removed, func(_ UpstreamStart, at time.Time) bool { return now.Sub(at) > removalMemory })
+	}
+	if len(r.removed) < maxRemovals {
+		r.removed[start] = now
+	}
+}
+
+// recordEntry records that an upstream is registered.
+func (r *restoredEntries) recordEntry(entry Upstream) {
+	delete(r.removed, entry.Start())
+	delete(r.held, entry.ID)
+}
+
+func (r *restoredEntries) wasRemoved(now time.Time, start UpstreamStart) bool {
+	at, found := r.removed[start]
+	return found && now.Sub(at) <= removalMemory
+}
--- a/core/scatter/restore_test.go
+++ b/core/scatter/restore_test.go
@@ -59,3 +59,68 @@
 	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-1": r.storedSuspects[0], "host-3": nil}})
 	refused("when another host writes its record")
 }
+
+// TestRestoredEntriesBringUpstreamsBack: the entries of a copy show upstreams as they
+// were: ready that drain, registered that have left, at an earlier start; and those
+// that registered later are missing.
+func TestRestoredEntriesBringUpstreamsBack(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 2)
+	files, orders, shard := pair("files"), pair("orders"), pair("shard00")
+	copied := append(append(pair("shard01"), files...), orders...)
+	draining, restarted := files[0], files[1]
+	draining.Draining, restarted.Started = true, 7
+	r.step(scatter.UpstreamSeen{Upstream: draining})
+	r.step(scatter.UpstreamSeen{Upstream: restarted})
+	r.step(scatter.UpstreamRemoved{ID: orders[0].ID})
+	r.run(time.Second)
+	ask := func(d time.Duration) map[core.UpstreamID]int64 {
+		first := len(r.sends)
+		for end := r.now.Add(d); r.now.Before(end); r.run(50 * ms) {
+			for _, path := range []string{fetchPath, orderPath, gatherPath} {
+				r.ask(path)
+			}
+		}
+		sent := map[core.UpstreamID]int64{}
+		for _, s := range r.sends[first:] {
+			sent[s.Target.ID] = s.Target.Started
+		}
+		return sent
+	}
+	check := func(when string, sent map[core.UpstreamID]int64) {
+		t.Helper()
+		for _, gone := range []core.UpstreamID{files[0].ID, orders[0].ID} {
+			if _, found := sent[gone]; found {
+				t.Errorf("%s: requests were sent to %s", when, gone)
+			}
+		}
+		if started := sent[restarted.ID]; started != 7 {
+			t.Errorf("%s: %s counts as started at %d", when, restarted.ID, started)
+		}
+		if _, found := sent[shard[0].ID]; !found {
+			t.Errorf("%s: %s gets nothing", when, shard[0].ID)
+		}
+	}
+	check("before", ask(time.Second))
+	r.step(scatter.UpstreamsListed{Upstreams: copied, Restored: true})
+	check("after the restore", ask(time.Second))
+	r.step(scatter.UpstreamsListed{Upstreams: copied}) // listed again before anybody has written
+	check("after another list", ask(500*ms))
+	for _, u := range append(shard, draining, restarted) {
+		r.step(scatter.UpstreamSeen{Upstream: u})
+	}
+	r.step(scatter.UpstreamRemoved{ID: orders[0].ID})
+	check("when all have written again", ask(10*time.Second))
+
+	// An entry that nobody corrects was true after all.
+	r.step(scatter.UpstreamRemoved{ID: orders[1].ID})
+	r.run(time.Second)
+	r.step(scatter.UpstreamsListed{Upstreams: append(copied, shard...), Restored: true})
+	for _, want := range []bool{false, true} {
+		sent := ask(4 * time.Second)
+		_, first := sent[orders[0].ID]
+		if _, second := sent[orders[1].ID]; (first || second) != want {
+			t.Errorf("the upstreams of orders are used: %v, want %v", first || second, want)
+		}
+	}
+}
