Keep a failure domain out of service when the store loses that it is

What would happen: operators take a failure domain out, the store is restored from an older copy, and its list without the domain is taken for the truth; hosts send to it until operators write again.

Change: domains that were out before a restore stay out for 5 s beside those listed, as hosts do. A domain taken back within the lost seconds, or while they pass, returns up to 5 s late.

TestDomainTakenOutIsUsedAfterARestore failed before (requests to the domain after the restore).

--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -33,12 +33,13 @@
 
 // Engine is the decision core of one host. It is not safe for concurrent use.
 type Engine struct {
-	options   Options
-	config    *Config
-	directory *directory
-	fleet     *fleet
-	hosts     retained[core.HostID, Host]
-	handovers map[core.CallID]*handover
+	options    Options
+	config     *Config
+	directory  *directory
+	fleet      *fleet
+	hosts      retained[core.HostID, Host]
+	domainsOut retained[core.DomainID, bool]
+	handovers  map[core.CallID]*handover
 	// aloneUntil is until when this host stays ready to answer requests itself,
 	// after no other host accepted one.
 	aloneUntil         time.Time
@@ -257,7 +258,7 @@
 		}
 		e.startGraceTimer(now)
 	case DomainsOut:
-		e.setDomains(event.Domains)
+		e.listDomainsOut(now, event)
 	case HostsSeen:
 		e.listHosts(now, event)
 	case HandoverEnded:
@@ -312,6 +313,15 @@
 	e.note(Note{Decision: DecisionConfig, Version: c.Version})
 }
 
+// listDomainsOut applies the set of domains that are out of service. One that the
+// store lost stays out while operators take it out again.
+func (e *Engine) listDomainsOut(now time.Time, event DomainsOut) {
+	e.setDomains(e.domainsOut.list(now, event.Domains, event.Restored))
+	if event.Restored {
+		e.timers.Add(e.domainsOut.until, func(now time.Time) { e.setDomains(e.domainsOut.inForce(now)) })
+	}
+}
+
 func (e *Engine) setDomains(out map[core.DomainID]bool) {
 	if maps.Equal(out, e.directory.domainsOut) {
 		return
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -74,7 +74,12 @@
 type UpstreamRemoved struct{ ID core.UpstreamID }
 
 // DomainsOut is the set of failure domains that operators took out of service.
-type DomainsOut struct{ Domains map[core.DomainID]bool }
+type DomainsOut struct {
+	Domains map[core.DomainID]bool
+	// Restored is true if the set is from a store that was restored from an older
+	// copy: domains taken out since the copy are missing.
+	Restored bool
+}
 
 // HostsSeen is the list of all hosts of the tier.
 type HostsSeen struct {
--- a/core/scatter/restore_test.go
+++ b/core/scatter/restore_test.go
@@ -124,3 +124,43 @@
 		}
 	}
 }
+
+// TestDomainTakenOutIsUsedAfterARestore: the restored store does not list a failure
+// domain that operators took out after the copy, until they write it again.
+func TestDomainTakenOutIsUsedAfterARestore(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 2)
+	sentToD1 := func(d time.Duration) (count int) {
+		first := len(r.sends)
+		for end := r.now.Add(d); r.now.Before(end); r.run(20 * ms) {
+			r.ask(fetchPath)
+		}
+		for _, s := range r.sends[first:] {
+			if s.Target.Domain == "d1" {
+				count++
+			}
+		}
+		return count
+	}
+	out := func(restored bool, domains ...core.DomainID) {
+		event := scatter.DomainsOut{Domains: map[core.DomainID]bool{}, Restored: restored}
+		for _, d := range domains {
+			event.Domains[d] = true
+		}
+		r.step(event)
+	}
+	out(false, "d1")
+	out(true)
+	if n := sentToD1(time.Second); n > 0 {
+		t.Errorf("%d requests after the restore", n)
+	}
+	out(false, "d1")
+	if n := sentToD1(10 * time.Second); n > 0 {
+		t.Errorf("%d requests when it was taken out again", n)
+	}
+	out(true)
+	sentToD1(6 * time.Second)
+	if n := sentToD1(time.Second); n == 0 {
+		t.Error("a domain that nobody takes out again stays out")
+	}
+}
