Keep the newest configuration when a restored store lists an older one

What would happen: the operators' newest version is lost in a restore. Running hosts keep it, but a host that starts before it is written again takes the older one from the store, and the hosts that read the store pass the older one on to it.

Change: the configuration is ordered by its own version. A full state does not replace a newer version that is held, and a state that is not newer as a whole still gives away a newer version; so a host that starts learns it from any host that it follows. Other feeds have no versions of their own and are not affected.

TestHostStartedAfterARestoreTakesAnOlderConfiguration failed before ('h3: version 1 is in force, want 2').

--- a/edge/hub.go
+++ b/edge/hub.go
@@ -73,17 +73,19 @@
 		if at, _ := h.cursor.Position(); u.Era != at.Era {
 			h.onIgnored(u, at)
 		}
+		h.applyNewerVersions(u)
 		return true
 	}
 	u.Restored = restored
-	if u.Reset {
+	if u.Reset && !h.feed.Versioned() {
 		clear(h.objects)
 	}
 	for _, c := range u.Changes {
+		name := c.Object.Meta.Name
 		if c.Removed {
-			delete(h.objects, c.Object.Meta.Name)
-		} else {
-			h.objects[c.Object.Meta.Name] = c
+			delete(h.objects, name)
+		} else if !h.feed.Outdated(c.Object, h.objects[name].Object) {
+			h.objects[name] = c
 		}
 	}
 	// If the delivery panics, the full state is requested again.
@@ -97,6 +99,23 @@
 	return true
 }
 
+// applyNewerVersions applies those objects of an ignored update that have a higher
+// version than the ones at hand: a restored store lists older ones until their writer
+// writes them again, while other hosts still hold the newest. The caller holds h.mu.
+func (h *hub) applyNewerVersions(u platform.Update) {
+	var newer []platform.Change
+	for _, c := range u.Changes {
+		if !c.Removed && h.feed.Outdated(h.objects[c.Object.Meta.Name].Object, c.Object) {
+			newer = append(newer, c)
+			h.objects[c.Object.Meta.Name] = c
+		}
+	}
+	if len(newer) > 0 {
+		h.deliver(h.feed.Events(platform.Update{Changes: newer}))
+		h.publish(h.fullUpdate())
+	}
+}
+
 // contains reports whether the state has an object.
 func (h *hub) contains(name string) bool {
 	h.mu.Lock()
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -107,3 +107,30 @@
 		return nil
 	})
 }
+
+// TestHostStartedAfterARestoreTakesAnOlderConfiguration: until the operators write a
+// lost version again, the store has an older one than the hosts.
+func TestHostStartedAfterARestoreTakesAnOlderConfiguration(t *testing.T) {
+	t.Parallel()
+	cluster := newTwoShardCluster(t)
+	hosts := []*testHost{cluster.startHost("h1", 1), cluster.startHost("h2", 1)}
+	time.Sleep(100 * time.Millisecond)
+	copied := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	cluster.configure("shard-b", "shard-a", "shard-b")
+	wantVersion := func() error {
+		for _, h := range hosts {
+			if got := h.configVersion.Load(); got != uint64(cluster.version) {
+				return fmt.Errorf("%s: version %d is in force, want %d", h.platformSettings.Host, got, cluster.version)
+			}
+		}
+		return nil
+	}
+	eventually(t, wantVersion)
+	cluster.restore(copied)
+	time.Sleep(contactTime)
+	hosts = append(hosts, cluster.startHost("h3", 1), cluster.startHost("h4", 0.1))
+	eventually(t, wantVersion)
+	cluster.configure("shard-a", "shard-a", "shard-b")
+	eventually(t, wantVersion)
+}
