Soak: the store is restored from older copies

Once at a random time among the other faults the store goes away and comes back from a copy up to 4 s old; and before the final checks it loses three versions of the configuration that were in force. Operators and servers write again what they wrote last, what the hosts wrote is lost.

--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -53,6 +53,32 @@
 	mu        sync.Mutex
 	version   int
 	shardSets [][]string // shards of each version, beginning with version 1
+
+	writtenMu sync.Mutex
+	// written is what operators and servers wrote last, by kind and name.
+	written map[[2]string]any
+}
+
+// put writes to the store as an operator or a server.
+func (f *fleet) put(kind, name string, spec any) error {
+	f.writtenMu.Lock()
+	defer f.writtenMu.Unlock()
+	f.written[[2]string{kind, name}] = spec
+	return f.store.Put(kind, name, spec)
+}
+
+// restoreStore goes back to a copy of the store. Operators and servers then write
+// again what they wrote last; what the hosts wrote since the copy is lost.
+func (f *fleet) restoreStore(age time.Duration) error {
+	f.writtenMu.Lock()
+	defer f.writtenMu.Unlock()
+	f.store.Restore(age)
+	for key, spec := range f.written {
+		if err := f.store.Put(key[0], key[1], spec); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // server is a server stand-in behind a proxy.
@@ -78,7 +104,7 @@
 }
 
 func newFleet(program, folder string, hosts int) (*fleet, error) {
-	f := &fleet{program: program, folder: folder, store: platformstub.New()}
+	f := &fleet{program: program, folder: folder, store: platformstub.New(), written: map[[2]string]any{}}
 	f.storeServer = httptest.NewServer(f.store)
 	for i := range shards {
 		for j := range serversPerShard {
@@ -131,7 +157,7 @@
 
 func (f *fleet) addFileServer(id string) error {
 	register := func(address string, starts int) error {
-		return f.store.Put("servers", id, serverEntry("files", "d1", address, "ready", starts))
+		return f.put("servers", id, serverEntry("files", "d1", address, "ready", starts))
 	}
 	var stub *serverstub.Server
 	stub, err := serverstub.Start(serverstub.Config{
@@ -146,7 +172,7 @@
 }
 
 func (f *fleet) register(s *server, state string) error {
-	return f.store.Put("servers", s.id, serverEntry(s.service, s.domain, s.proxy.address(), state, 1))
+	return f.put("servers", s.id, serverEntry(s.service, s.domain, s.proxy.address(), state, 1))
 }
 
 func serverEntry(service, domain, address, state string, born int) map[string]any {
@@ -175,7 +201,7 @@
 	for _, name := range []string{"shard-0", "shard-1", "shard-2", "orders", "files"} {
 		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 60})
 	}
-	return f.store.Put("config", "main", map[string]any{
+	return f.put("config", "main", map[string]any{
 		"version": f.version, "services": services, "limits": map[string]any{"max_body_bytes": 1 << 20},
 		"routes": []any{
 			with(map[string]any{"name": "gather", "path_prefix": "/gather/", "kind": "idempotent", "gather": set, "top_k": 4, "min_coverage": 0.5}),
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -78,9 +78,11 @@
 	}
 	j := &faultInjector{fleet: f, checker: c, random: rand.New(rand.NewPCG(config.Seed, 0)), folder: config.Folder}
 	callers.Go(func() { c.sendCrashRequests(config.Seed, stop) })
+	callers.Go(func() { j.restoreStore(config.Seed, config.Faults) })
 	j.run(config.Faults)
 	j.killAll()
 	before := f.crashCount()
+	j.restoreAfterChanges()
 	c.checkRecovery()
 	if later := f.crashCount() - before; before > 0 && later > maxCrashesAfterRestart {
 		c.violated("%d servers crashed under one request, and %d more after all hosts were killed", before, later)
@@ -222,16 +224,59 @@
 		{Down: true}, {Silent: true}, {Busy: true}, {ForgetWatches: true}, {Delay: "300ms"}, {LoseReplies: 3},
 	}
 	fault := faults[j.random.IntN(len(faults))]
-	set := func(f platformstub.Faults) {
-		if err := j.fleet.store.SetFaults(f); err != nil {
-			j.checker.violated("%v", err)
-		}
-	}
-	set(fault)
+	j.setStoreFaults(fault)
 	if j.random.IntN(3) == 0 {
 		j.fleet.store.Compact()
 	}
-	return fmt.Sprintf("store %+v", fault), func() { set(platformstub.Faults{}) }
+	return fmt.Sprintf("store %+v", fault), func() { j.setStoreFaults(platformstub.Faults{}) }
+}
+
+// maxCopyAge is the greatest age of the copy from which the store is restored.
+const maxCopyAge = 4 * time.Second
+
+// restoreStore takes the store away once, at a random time, and brings it back from
+// an older copy.
+func (j *faultInjector) restoreStore(seed uint64, faults time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 4))
+	time.Sleep(time.Duration(random.Int64N(int64(faults))))
+	age := time.Duration(random.Int64N(int64(maxCopyAge)))
+	j.setStoreFaults(platformstub.Faults{Down: true})
+	time.Sleep(time.Duration(random.Int64N(int64(500 * time.Millisecond))))
+	if err := j.fleet.restoreStore(age); err != nil {
+		j.checker.violated("%v", err)
+	}
+	j.setStoreFaults(platformstub.Faults{})
+}
+
+// lostVersions is how many versions of the configuration the store loses in
+// restoreAfterChanges.
+const lostVersions = 3
+
+// restoreAfterChanges restores the store from a copy that is older than versions which
+// are in force on all hosts. The next version is given out under a revision that they
+// have seen.
+func (j *faultInjector) restoreAfterChanges() {
+	if !j.fleet.allReadyWithin(recoveryTimeout) {
+		return // checkRecovery reports it
+	}
+	copied := time.Now()
+	for range lostVersions {
+		if err := j.fleet.configure(); err != nil {
+			j.checker.violated("configure: %v", err)
+		}
+		time.Sleep(contactMs * time.Millisecond / 2)
+	}
+	j.setStoreFaults(platformstub.Faults{Down: true})
+	if err := j.fleet.restoreStore(time.Since(copied)); err != nil {
+		j.checker.violated("%v", err)
+	}
+	j.setStoreFaults(platformstub.Faults{})
+}
+
+func (j *faultInjector) setStoreFaults(f platformstub.Faults) {
+	if err := j.fleet.store.SetFaults(f); err != nil {
+		j.checker.violated("%v", err)
+	}
 }
 
 func (j *faultInjector) proxyFault(name string, p *proxy) (string, func()) {
