Store the configuration in force again when the platform lost it

What would happen: operators are told that a change is accepted, the platform is restored from an older copy, and holds an older generation than all hosts have in force. Hosts do not go back, but every further change is refused ('the platform answered with generation 9, this host has 11 in force'), on all hosts, for good; and once all hosts have ended, the accepted change is lost.

Change: a host that watches the document and sees an older generation than the one in force stores its own again, on condition of the version that it saw, and repeats that with each digest round while the platform does not answer.

TestAcceptedConfigurationIsLostInARestore failed before ('the platform holds generation 1, want 3'). Ruled out: a stale replica that answers a watch; its version is not the current one, so the write is refused as a conflict. Left: a host that starts before the document is stored again, and accepts a change on the older one, gives out a generation that others have with another content; the later of both writes wins. The audit pages of the lost seconds are lost.

--- a/core/configsync/fleet_test.go
+++ b/core/configsync/fleet_test.go
@@ -164,6 +164,14 @@
 	switch {
 	case f.platformDown:
 		reply.Kind = core.PlatformUnavailable
+	case call.Op == core.PlatformPut && call.Version != reply.Version:
+		reply.Kind = core.Conflict
+	case call.Op == core.PlatformPut:
+		f.versions = append(f.versions, call.Value)
+		reply.Version++
+		for j := range f.nodes {
+			f.notify(j)
+		}
 	case len(f.versions) == 0:
 		reply.Kind = core.UnknownName
 	default:
--- a/core/configsync/sync.go
+++ b/core/configsync/sync.go
@@ -94,7 +94,10 @@
 	// done.
 	readAt    time.Time
 	operation uint64
-	lastPush  map[core.HostID]sentPush
+	// lost is the version of an older document that the platform holds instead of
+	// the one in force, 0 for none; storing is the write that replaces it.
+	lost, storing uint64
+	lastPush      map[core.HostID]sentPush
 	// lastInvalid is the last rejection recorded. It prevents a watch that delivers
 	// the same corrupt value repeatedly from flooding the records.
 	lastInvalid string
@@ -156,6 +159,7 @@
 	case core.PlatformChanged:
 		if e.Key == core.ConfigKey {
 			s.applyValue(e.Value, "platform", out)
+			s.checkStored(e, out)
 		}
 	case core.PlatformReply:
 		if e.Operation&core.OperationsMask == core.OperationsConfig {
@@ -193,6 +197,7 @@
 		s.chooseWatch(out)
 	}
 	s.expireSentPushes(now)
+	s.storeAgain(out)
 	s.compareWithPeers(out)
 	s.nextDigest = now.Add(s.config.DigestEvery)
 }
@@ -225,6 +230,13 @@
 }
 
 func (s *Sync) handlePlatformReply(reply core.PlatformReply, out *core.Actions) {
+	if reply.Operation == core.OperationsConfig|s.storing {
+		s.storing = 0
+		if reply.Kind != core.PlatformUnavailable {
+			s.lost = 0 // stored, or replaced by another host; the watch delivers it
+		}
+		return
+	}
 	if reply.Kind == core.OK {
 		s.applyValue(reply.Value, "platform", out)
 	}
--- a/core/configsync/sync_test.go
+++ b/core/configsync/sync_test.go
@@ -364,3 +364,44 @@
 		}
 	}
 }
+
+// TestAcceptedConfigurationIsLostInARestore: after the platform was restored from an
+// older copy, the hosts store what they have in force again, so that changes can be
+// built on it.
+func TestAcceptedConfigurationIsLostInARestore(t *testing.T) {
+	for name, down := range map[string]time.Duration{"at once": 0, "after a failed write": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 12, 1)
+			docs := documents(t, 3, 4)
+			f.run(5*time.Second, never)
+			for g, value := range docs[:3] {
+				f.accept(0, value)
+				f.run(5*time.Second, f.inForceEverywhere(uint64(g+1)))
+			}
+			f.versions = append(f.versions, docs[0])
+			for i := range f.nodes {
+				f.notify(i)
+			}
+			f.platformDown = down > 0
+			f.run(down, never)
+			f.platformDown = false
+			f.run(3*time.Second, never)
+			if stored := f.versions[len(f.versions)-1]; !bytes.Equal(stored, docs[2]) {
+				generation, _ := resource.PeekGeneration(stored)
+				t.Errorf("the platform holds generation %d, want 3", generation)
+			}
+			if lagging := f.lagging(3); lagging > 0 {
+				t.Errorf("%d hosts went back", lagging)
+			}
+			writes := len(f.versions)
+			f.run(time.Minute, never)
+			if len(f.versions) != writes {
+				t.Errorf("%d further writes", len(f.versions)-writes)
+			}
+			f.accept(5, docs[3])
+			if took := f.run(4*time.Second, f.inForceEverywhere(4)); f.lagging(4) > 0 {
+				t.Errorf("the next generation is not in force after %v", took)
+			}
+		})
+	}
+}
