Keep exclusive rights exclusive when the platform restores an older lease table

Warm, repeatable work goes on meanwhile. In the first era terms, messages and times are as before, so hosts of older versions are not affected.

--- a/core/lease/assign.go
+++ b/core/lease/assign.go
@@ -19,8 +19,11 @@
 		return time.Time{}
 	}
 	at := latestOf(w.planNotBefore, w.retryNotBefore, w.membersWrittenAt)
-	if l.table.version == 0 {
+	switch {
+	case l.table.version == 0:
 		at = latestOf(at, l.firstAssignmentAt())
+	case w.shares.versionKnown:
+		at = latestOf(at, l.assignableAt())
 	}
 	return at
 }
@@ -54,6 +57,7 @@
 		topology: l.topology,
 		releases: w.releases,
 	})
+	next = l.markEra(next)
 	if next == nil {
 		w.planDue = false
 		l.pruneReleases()
--- a/core/lease/fence.go
+++ b/core/lease/fence.go
@@ -15,9 +15,7 @@
 func (l *Lease) nextMembers(out *core.Actions) *peerpb.LeaseMembers {
 	old := l.writer.document
 	next := proto.CloneOf(old)
-	if next.NextTerm == 0 {
-		next.NextTerm = 1
-	}
+	next.NextTerm = max(next.NextTerm, firstTerm(eraOf(l.writer.members.version)))
 	l.removeExpired(next, out)
 	for _, p := range l.pendingInOrder() {
 		l.applyRenewal(next, p)
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -42,7 +42,7 @@
 // ExclusiveUntil returns when this host's exclusive right to the share ends, or
 // the zero time if it has no such right.
 func (l *Lease) ExclusiveUntil(id core.UpstreamID) time.Time {
-	if l.heldShare(id) == nil || l.holder.confirmedAt.IsZero() {
+	if l.heldShare(id) == nil || l.holder.confirmedAt.IsZero() || l.now.Before(l.holder.exclusiveFrom) {
 		return time.Time{}
 	}
 	return l.holder.confirmedAt.Add(l.config.LeaseDuration)
--- a/core/lease/renew.go
+++ b/core/lease/renew.go
@@ -26,6 +26,9 @@
 	// unconfirmedSince is when the newest confirmed renewal was sent, or when
 	// this host started if none was confirmed.
 	unconfirmedSince time.Time
+	// exclusiveFrom is when this host may have exclusive rights again after the
+	// platform was restored.
+	exclusiveFrom time.Time
 
 	nextRenew time.Time
 	// fallbackAt is when to send the renewal to the next host; zero while no
@@ -166,8 +169,8 @@
 	if h.term == 0 {
 		l.join(r.GetTerm(), out)
 	}
-	if r.GetTerm() != h.term {
-		return
+	if r.GetTerm() != h.term || eraOf(r.GetTableVersion()) > eraOf(l.table.version) && l.table.version != 0 {
+		return // a table of another era is on its way, in which this host may hold nothing
 	}
 	l.stats.Confirmed++
 	if sent.at.After(h.confirmedAt) {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -52,6 +52,7 @@
 		l.stats.Malformed++
 		return false
 	}
+	l.noteEra(version)
 	l.table.set(version, document, shares)
 	if w := &l.writer; !w.shares.inFlight() {
 		w.shares.version = version
--- a/core/lease/writer.go
+++ b/core/lease/writer.go
@@ -57,6 +57,9 @@
 	retryNotBefore            time.Time
 	// callTimeout is the timeout of the next platform call.
 	callTimeout time.Duration
+	// restoreSeenAt is when this host first had a table of a restored platform to
+	// which no assignment was made yet.
+	restoreSeenAt time.Time
 
 	planDue       bool
 	planNotBefore time.Time
@@ -313,6 +316,11 @@
 		observed[m.GetTerm()] = l.observe(m)
 	}
 	w.observed = observed
+	if !l.tableIsCurrent() {
+		w.shares.versionKnown = w.shares.inFlight()
+		w.planDue = true
+		return // confirmed with the table of this era
+	}
 	for _, p := range l.pendingInOrder() {
 		l.answerFromMembers(p, out)
 	}
