Never accept a key again after the platform forgot the interval that accepted it

What happened in the simulation: the record of a partition is restored without its last extension or takeover; the host that made it ends; the next one begins its interval at the recorded end, and a request that must not run twice runs again with its resend.

Change: a record names the era in which it was written (left out in the first). One of an earlier era is not succeeded before every interval that can have been reserved in that era has ended (Lookahead + ClockSkew + TakeoverWait, 12.5 s, from when it was first read), and the next interval begins after them. A live holder keeps serving, and writes its record again when it finds an outdated one. A missing record counts as outdated in a later era; for that the reply to a read of a missing object tells the era.

Known red: request ids without an issue time, whose claim the store forgot (TestUntimedRequestRunsTwiceAfterARestore, listed).

--- a/core/event.go
+++ b/core/event.go
@@ -77,7 +77,9 @@
 	Operation uint64
 	// Kind is OK, Conflict (the version did not match), UnknownName (no such
 	// object) or PlatformUnavailable (the outcome is unknown).
-	Kind    Kind
+	Kind Kind
+	// Version is that of the object; with UnknownName it holds only the era of the
+	// platform, see PositionOf.
 	Version uint64
 	Value   []byte
 }
--- a/core/once/partition.go
+++ b/core/once/partition.go
@@ -16,6 +16,8 @@
 	Incarnation uint64      `json:"incarnation"`
 	From        int64       `json:"from_ms"`
 	To          int64       `json:"to_ms"`
+	// Era is the era of the platform in which this was written; 0 is the first.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // partition is this host's state of one key partition.
@@ -33,6 +35,10 @@
 	closing bool
 	// callInFlight is set while a platform call for the partition is in flight.
 	callInFlight bool
+	// era is the era of the platform at the last read or write, and outdatedSince
+	// when this host first read in it a record of an earlier era.
+	era           uint64
+	outdatedSince time.Time
 }
 
 func newPartition(number, count int) *partition {
@@ -88,6 +94,7 @@
 }
 
 func (g *Guard) write(p *partition, r record, out *core.Actions) {
+	r.Era = p.recordEra()
 	value, err := json.Marshal(r)
 	if err != nil {
 		return
@@ -102,7 +109,7 @@
 func (g *Guard) handleWriteReply(now time.Time, p *partition, r record, reply core.PlatformReply, out *core.Actions) {
 	p.callInFlight = false
 	if reply.Kind == core.OK {
-		p.version = reply.Version
+		p.setVersion(reply.Version)
 		g.applyRecord(now, p, r, out)
 		return
 	}
@@ -130,11 +137,12 @@
 			p.held = false
 			return
 		}
-		p.version = reply.Version
+		p.setVersion(reply.Version)
 		g.applyRecord(now, p, r, out)
 	case core.UnknownName:
+		p.setVersion(reply.Version)
 		p.version, p.held = 0, false
-		g.takeOver(p, max(p.to, now.UnixMilli()), now, out)
+		g.succeed(now, p, record{To: max(p.to, now.UnixMilli())}, out)
 	}
 }
 
@@ -145,8 +153,17 @@
 	case !g.isOwn(r):
 		p.held, p.closing = false, false
 		if g.mayTakeOver(now, r) {
-			g.takeOver(p, r.To, now, out)
+			g.succeed(now, p, r, out)
 		}
+	case p.held && p.isOutdated(r):
+		// This process has extended the interval since; the record follows.
+		next := g.ownRecord(p.from, max(p.to, r.To))
+		if p.closing {
+			next = record{From: p.from, To: p.to}
+		}
+		g.write(p, next, out)
+	case p.isOutdated(r):
+		g.succeed(now, p, r, out)
 	case !p.held:
 		p.held, p.closing = true, false
 		// from and lastAccepted never move back, even if this process held the
--- a/core/once/sim_test.go
+++ b/core/once/sim_test.go
@@ -16,6 +16,7 @@
 
 // store simulates the platform: objects by key, and calls not executed yet.
 type store struct {
+	era      uint64
 	versions map[string]uint64
 	values   map[string][]byte
 	calls    []pendingCall
@@ -34,11 +35,15 @@
 	switch {
 	case c.Op == core.PlatformGet && r.Version == 0:
 		r.Kind = core.UnknownName
+		r.Version = core.Position{Era: s.era}.Version()
 	case c.Op == core.PlatformGet:
 	case c.Version != r.Version:
 		r.Kind = core.Conflict
 	default:
 		r.Version++
+		if core.PositionOf(r.Version).Era < s.era {
+			r.Version = core.Position{Era: s.era, Revision: 1}.Version()
+		}
 		s.versions[c.Key], s.values[c.Key] = r.Version, c.Value
 	}
 	return r
@@ -88,7 +93,7 @@
 func newSim(t failer, count int, configure func(*Config)) *sim {
 	w := &sim{
 		t: t, now: epoch, configure: configure,
-		store: &store{versions: map[string]uint64{}, values: map[string][]byte{}},
+		store: &store{era: core.FirstEra, versions: map[string]uint64{}, values: map[string][]byte{}},
 		ran:   map[string]int{},
 	}
 	for i := range count {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -98,6 +98,9 @@
 		err = p.store.Delete(ctx, c.Key, c.Version)
 	}
 	reply.Kind = replyKind(err)
+	if reply.Kind == core.UnknownName {
+		reply.Version = core.Position{Era: platform.EraOf(err)}.Version()
+	}
 	if err != nil {
 		p.log.Debug().Err(err).Str("key", c.Key).Stringer("kind", reply.Kind).Msg("platform call failed")
 	}
