Test of endless answers: count what was read, not what lies in socket buffers

TestServersThatSendWithoutEnd counts what the stand-in's kernel accepts, and socket buffers grow to tens of MB on this machine, so a reader that stops at its bound of 16 MB was once counted as 26 MB. The test bounds the host's receive buffers, the stand-in its send buffer; the bound of 24 MB is unchanged.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -36,6 +36,8 @@
 	firstStart bool
 	// idleTimeout is the configured idle timeout of callers' connections.
 	idleTimeout time.Duration
+	// prepareHost, if set, changes a host before it runs.
+	prepareHost func(*Host)
 }
 
 func newTestCluster(t testing.TB) *testCluster {
@@ -161,6 +163,9 @@
 	if err != nil {
 		cluster.t.Fatal(err)
 	}
+	if cluster.prepareHost != nil {
+		cluster.prepareHost(h)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	started := &testHost{Host: h, t: cluster.t, log: log, stop: stop, runResult: make(chan error, 1), once: &sync.Once{}, client: newCaller()}
 	go func() { started.runResult <- h.Run(ctx) }()
--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +21,8 @@
 func TestServersThatSendWithoutEnd(t *testing.T) {
 	const most = 24 << 20 // bytes that may be read of one answer
 	cluster := newTwoShardCluster(t)
+	// Socket buffers would grow to tens of MB, and what lies in them counts as read.
+	cluster.prepareHost = func(h *Host) { h.sender.dialer.Control = setReceiveBuffer }
 	h := cluster.startHost("host-1", 1)
 	endless := cluster.servers["a1"]
 	sequence := 0
@@ -72,6 +76,16 @@
 	}
 }
 
+// setReceiveBuffer bounds the receive buffer of a socket.
+func setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	const bytes = 64 << 10
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	})
+	return errors.Join(err, failed)
+}
+
 // runningAttempts returns the number of attempts in flight.
 func (h *testHost) runningAttempts() int {
 	h.sender.mu.Lock()
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -427,6 +427,9 @@
 // sendEndless sends a prefix and then repeats a text until the caller closes the
 // connection.
 func (s *Server) sendEndless(c net.Conn, prefix, repeated string) bool {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(endlessBlockBytes) // what lies in a buffer has not been read
+	}
 	block := strings.Repeat(repeated, 1+endlessBlockBytes/max(1, len(repeated)))
 	_, err := io.WriteString(c, prefix)
 	for err == nil {
