Test of absent hosts' records: repeat a check that no host could make

TestRecordsOfAbsentHostsAreRemoved made its check once; a host that has lost the store at that moment checks nothing, as it should. The check is repeated until a host that reads the store before and after has made it; the counts that it must lead to are as before, also the one that nothing is removed too early.

--- a/edge/stale_hosts_test.go
+++ b/edge/stale_hosts_test.go
@@ -38,13 +38,26 @@
 		})
 	}
 	time.Sleep(followSilenceTimeout) // until the streams are stable
+	// A host that has lost the store checks nothing, so the checks are repeated until
+	// a host that reads it has made them all.
 	checkAfter := func(times ...time.Duration) {
-		for _, h := range hosts {
-			var expiry scatter.HostExpiry
-			for _, later := range times {
-				h.registry.checkStaleHosts(t.Context(), &expiry, time.Now().Add(later))
+		t.Helper()
+		eventually(t, func() error {
+			checked := false
+			for _, h := range hosts {
+				var expiry scatter.HostExpiry
+				reads := func() bool { return h.registry.current.Load().isReader() && h.registry.storeReadersUp() }
+				before := reads()
+				for _, later := range times {
+					h.registry.checkStaleHosts(t.Context(), &expiry, time.Now().Add(later))
+				}
+				checked = checked || before && reads()
 			}
-		}
+			if !checked {
+				return errors.New("no host reads the store")
+			}
+			return nil
+		})
 	}
 	// The absent host does not return its followers, so hosts unknown here may follow
 	// it. The removal therefore takes the longer time, two hours.
