--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -281,33 +280,6 @@
 	return !d.reachable && now.Sub(d.reachableAt) > staleAfter
 }
 
-// isOutdated reports whether an entry of a registry that was restored from an older
-// copy shows an upstream as it was before a change that is known here.
-func (d *directory) isOutdated(now time.Time, entry Upstream) bool {
-	if !d.restored.active(now) {
-		return false
-	}
-	u := d.byID[entry.ID]
-	if u == nil {
-		return d.restored.wasRemoved(now, entry.Start())
-	}
-	return entry.Started < u.Started || entry.Started == u.Started && u.Draining && !entry.Draining
-}
-
-// acceptHeld applies the outdated entries that nobody has corrected until the end of
-// the restore grace period.
-func (d *directory) acceptHeld(now time.Time, note func(*upstream, Decision)) {
-	if d.restored.active(now) {
-		return // restored once more
-	}
-	for _, id := range slices.Sorted(maps.Keys(d.restored.held)) {
-		if decision := d.put(now, d.restored.held[id]); decision != "" {
-			note(d.byID[id], decision)
-		}
-	}
-	d.restored.held = nil
-}
-
 // expire removes the upstreams whose entries are still missing when the grace
 // period ends.
 func (d *directory) expire(now time.Time, note func(*upstream, Decision)) {
--- a/core/scatter/restore.go
+++ b/core/scatter/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
@@ -94,3 +95,30 @@
 	at, found := r.removed[start]
 	return found && now.Sub(at) <= removalMemory
 }
+
+// isOutdated reports whether an entry of a registry that was restored from an older
+// copy shows an upstream as it was before a change that is known here.
+func (d *directory) isOutdated(now time.Time, entry Upstream) bool {
+	if !d.restored.active(now) {
+		return false
+	}
+	u := d.byID[entry.ID]
+	if u == nil {
+		return d.restored.wasRemoved(now, entry.Start())
+	}
+	return entry.Started < u.Started || entry.Started == u.Started && u.Draining && !entry.Draining
+}
+
+// acceptHeld applies the outdated entries that nobody has corrected until the end of
+// the restore grace period.
+func (d *directory) acceptHeld(now time.Time, note func(*upstream, Decision)) {
+	if d.restored.active(now) {
+		return // restored once more
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.restored.held)) {
+		if decision := d.put(now, d.restored.held[id]); decision != "" {
+			note(d.byID[id], decision)
+		}
+	}
+	d.restored.held = nil
+}
