--- a/core/configsync/restore.go
+++ b/core/configsync/restore.go
@@ -7,8 +7,8 @@
 	"github.com/samphirebeam/samphirebeam/resource"
 )
 
-// TopicStoredAgain: the platform held an older generation than this host, which stores
-// its own again.
+// TopicStoredAgain is the topic of the record that the platform held an older generation
+// than this host, which stores its own again.
 const TopicStoredAgain = "configuration.stored_again"
 
 // checkStored detects that the platform holds an older document than the one in force,
--- a/core/scatter/feed.go
+++ b/core/scatter/feed.go
@@ -22,12 +22,12 @@
 type FeedDecision int
 
 const (
-	// IgnoreUpdate: the update is not newer than the state.
+	// IgnoreUpdate means that the update is not newer than the state.
 	IgnoreUpdate FeedDecision = iota
-	// ApplyUpdate: the update follows on the state or replaces it.
+	// ApplyUpdate means that the update follows on the state or replaces it.
 	ApplyUpdate
-	// RequestReset: changes before the update are missing, and its source has to
-	// send the whole state.
+	// RequestReset means that changes before the update are missing, and its source
+	// has to send the whole state.
 	RequestReset
 )
 
--- a/core/scatter/restore_test.go
+++ b/core/scatter/restore_test.go
@@ -47,7 +47,10 @@
 	r.step(scatter.SuspectsSeen{ByHost: stored})
 	refused := func(when string) {
 		t.Helper()
-		r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Budget: time.Second, Fingerprint: other}), scatter.Refused)
+		call := r.arrive(scatter.RequestArrived{Path: fetchPath, Budget: time.Second, Fingerprint: other})
+		if a, answered := r.answers[call]; !answered || a.Kind != scatter.Refused {
+			t.Errorf("%s: answered %v, %v", when, answered, a.Kind)
+		}
 	}
 	refused("before the restore")
 	r.step(scatter.SuspectsSeen{Restored: true})
