Tell the other gatherers when a stated rate limit has ended

What callers saw: 503 with Retry-After for work that could run.

Cause: a gatherer with nearly no share of a limit sends one request in minutes, and so still kept the first limit long after it had ended; with the second one it took all servers for limited. The probes were also divided among all hosts, entry hosts included, which send nothing.

Change: the host that gets an answer without the limit tells the other gatherers (EndLimit), with the age of the evidence; a host that has heard the limit stated since ignores it. The other gatherers share their probes among themselves.

TestHostsStayAwayAfterALimitHasEnded failed before (6 of 12 gatherers use the upstream 4 s later) and passes (12).

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -25,6 +25,20 @@
 	Checks []Upstream
 	// Suspects is to be stored for all hosts; nil if it has not changed.
 	Suspects *SuspectReport
+	// LimitEnds are to be sent to the other gatherers.
+	LimitEnds []LimitEnd
+}
+
+// LimitEnd reports that an upstream has answered without the rate limit that it stated.
+type LimitEnd struct {
+	ID      core.UpstreamID
+	Address string
+	Started int64 // see Upstream
+	// At is when the request was sent that was answered without a limit.
+	At time.Time
+	// To are the gatherers to tell; By is the host that found out.
+	To []Host
+	By core.HostID
 }
 
 // SuspectReport lists the suspects that this host found. It replaces the previous
@@ -39,7 +53,7 @@
 	clear(a.Notes)
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
 	a.Silent, a.Suspects = nil, nil
-	a.Checks = a.Checks[:0]
+	a.Checks, a.LimitEnds = a.Checks[:0], a.LimitEnds[:0]
 	a.Handovers, a.Probes, a.CancelledHandovers = a.Handovers[:0], a.Probes[:0], a.CancelledHandovers[:0]
 }
 
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -276,6 +276,8 @@
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.startGraceTimer(now)
+	case LimitEnded:
+		e.handleLimitEnd(now, event.LimitEnd)
 	case Tick:
 	}
 }
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -170,6 +170,9 @@
 	Restored bool
 }
 
+// LimitEnded is a report of another host.
+type LimitEnded struct{ LimitEnd }
+
 // StoreReachable reports whether this host can reach the registry of upstreams.
 type StoreReachable struct{ Reachable bool }
 
@@ -192,6 +195,7 @@
 func (HostsSilent) isEvent()     {}
 func (UpstreamChecked) isEvent() {}
 func (SuspectsSeen) isEvent()    {}
+func (LimitEnded) isEvent()      {}
 func (Tick) isEvent()            {}
 
 // Upstream is the registry's entry of one upstream.
--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -121,6 +121,19 @@
 	return known.limit
 }
 
+// EndLimit ends the limit of a start of an upstream, unless it was stated after the
+// given time. It reports whether there was one.
+func (n *Notices) EndLimit(id core.UpstreamID, address string, started int64, at time.Time) bool {
+	key := noticeKey{id, address, started}
+	known := n.byStart[key]
+	if !known.limit.Stated || !at.After(known.limitAt) {
+		return false
+	}
+	known.limit = RateLimit{}
+	n.byStart[key] = known
+	return true
+}
+
 // Forbids reports whether no request may be sent to the upstream at present.
 func (n Notice) Forbids() bool { return n.Leaving || n.RetryAfter > 0 }
 
@@ -136,7 +149,10 @@
 		return
 	}
 	known := e.directory.notices.Lookup(now, u.Upstream)
-	e.setLimit(now, u, known.Limit)
+	if u.limit.Stated && !known.Limit.Stated {
+		e.reportLimitEnd(u, sentAt)
+	}
+	e.setLimit(now, u, known.Limit, "")
 	if known.Leaving && !u.leaving {
 		u.leaving = true
 		e.noteUpstream(u, DecisionUpstreamLeaving)
--- a/core/scatter/rate_limit.go
+++ b/core/scatter/rate_limit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
@@ -13,6 +14,9 @@
 // gatherers in fixed shares that depend only on the registered hosts, so that the
 // limit holds while hosts cannot reach each other or the store. A host that is not
 // registered has no share, since the others do not know of it.
+//
+// Hosts with nearly no share would not notice the end of a limit for long, so a host
+// that finds out tells the other gatherers.
 
 const (
 	// limitUtilization is the fraction of a limit that is divided into shares. The
@@ -21,9 +25,10 @@
 	// minLimitMembers plus one for each request per second of the limit is how
 	// many gatherers share a limit. Each can be one request ahead of its share.
 	minLimitMembers = 2
-	// limitProbeRate is how many requests per second all other hosts together
-	// send, to find out whether the limit still applies.
-	limitProbeRate = 0.25
+	// limitProbeRate is how many requests per second the other gatherers together
+	// send, and all remaining hosts together, to find out whether the limit still
+	// applies.
+	limitProbeRate = 0.125
 	// limitBurst is how far ahead of its share a member may be, besides one
 	// request.
 	limitBurst = 250 * time.Millisecond
@@ -34,11 +39,14 @@
 // in an order specific to the upstream; it is the number of hosts for one that is
 // not registered.
 func limitShare(limit float64, rank, gatherers, hosts int) float64 {
-	members := limitMembers(limit, gatherers)
-	if rank < members {
+	switch members := limitMembers(limit, gatherers); {
+	case rank < members:
 		return max(limitUtilization*limit, limitProbeRate) / float64(members)
+	case rank < gatherers:
+		return limitProbeRate / float64(gatherers-members)
+	default:
+		return limitProbeRate / float64(max(1, hosts-gatherers))
 	}
-	return limitProbeRate / float64(max(1, hosts-members))
 }
 
 func limitMembers(limit float64, gatherers int) int {
@@ -113,7 +121,11 @@
 	latest := now.Add(l.interval + limitBurst)
 	if members := limitMembers(l.PerSecond, gatherers); first && rank >= members {
 		// The other hosts' first requests are spread over their interval.
-		l.nextAt = now.Add(limitBurst + time.Duration(float64(l.interval)*float64(rank-members+1)/float64(max(1, hosts-members))))
+		position := float64(rank-members+1) / float64(max(1, gatherers-members))
+		if rank >= gatherers {
+			position = float64(rank-gatherers+1) / float64(max(1, hosts-gatherers))
+		}
+		l.nextAt = now.Add(limitBurst + time.Duration(min(1, position)*float64(l.interval)))
 	} else if first || l.nextAt.After(latest) {
 		l.nextAt = latest
 	}
@@ -169,8 +181,38 @@
 	e.timers.Add(first, func(now time.Time) { e.dispatchQueued(now, id) })
 }
 
-// setLimit applies the limit that an upstream states, and logs a change.
-func (e *Engine) setLimit(now time.Time, u *upstream, limit RateLimit) {
+// reportLimitEnd tells the other gatherers that a limit has ended.
+func (e *Engine) reportLimitEnd(u *upstream, at time.Time) {
+	end := LimitEnd{ID: u.ID, Address: u.Address, Started: u.Started, At: at, By: e.options.Self}
+	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
+		if h.ID != e.options.Self {
+			end.To = append(end.To, h)
+		}
+	}
+	if len(end.To) > 0 {
+		e.out.LimitEnds = append(e.out.LimitEnds, end)
+	}
+}
+
+// handleLimitEnd applies a report of another host.
+func (e *Engine) handleLimitEnd(now time.Time, end LimitEnd) {
+	if !e.directory.notices.EndLimit(end.ID, end.Address, end.Started, end.At) {
+		return
+	}
+	u := e.directory.byID[end.ID]
+	if u == nil || u.Address != end.Address || u.Started != end.Started {
+		return
+	}
+	if end.At.After(u.limit.answeredAt) {
+		u.limit.answeredAt = end.At
+	}
+	e.setLimit(now, u, RateLimit{}, "reported by "+string(end.By))
+	e.dispatchQueued(now, u.Service)
+}
+
+// setLimit applies the limit that an upstream states, and logs a change. How is added
+// to the log entry of its end.
+func (e *Engine) setLimit(now time.Time, u *upstream, limit RateLimit, how string) {
 	before := u.limit
 	switch {
 	case !limit.Stated && !before.Stated:
@@ -179,7 +221,8 @@
 		u.limit = limitState{answeredAt: before.answeredAt}
 		e.note(Note{
 			Decision: DecisionUpstreamUnlimited, Upstream: u.ID, Service: u.Service, Version: e.Version(), Age: now.Sub(before.since),
-			Parts: before.sends, Extra: before.extra, Detail: fmt.Sprintf("%d sends, %d relayed, %d extra", before.sends, before.relayed, before.extra),
+			Parts: before.sends, Extra: before.extra,
+			Detail: strings.TrimSpace(fmt.Sprintf("%d sends, %d relayed, %d extra %s", before.sends, before.relayed, before.extra, how)),
 		})
 		return
 	case !before.Stated:
--- a/core/scatter/rate_limit_test.go
+++ b/core/scatter/rate_limit_test.go
@@ -272,3 +272,25 @@
 		t.Errorf("%d requests were sent at once", sent)
 	}
 }
+
+// TestHostsStayAwayAfterALimitHasEnded: a host that may send nearly nothing under a
+// limit would find out much too late that it has ended.
+func TestHostsStayAwayAfterALimitHasEnded(t *testing.T) {
+	s := newTier(30, 4, simSweep, simQuick)
+	s.offer(60, 2*time.Second, simMix...)
+	id := s.id(0, 0)
+	s.stateLimit(0.7, id)
+	s.offer(60, 8*time.Second, simMix...)
+	u := s.upstreams[id]
+	u.limit = scatter.RateLimit{}
+	s.offer(60, 4*time.Second, simMix...)
+	senders := map[core.HostID]bool{}
+	u.limit, u.arrivals = scatter.RateLimit{Stated: true, PerSecond: 1e6}, nil // records arrivals
+	s.offer(60, 3*time.Second, simMix...)
+	for _, a := range u.arrivals {
+		senders[a.from] = true
+	}
+	if len(senders) < 8 {
+		t.Errorf("%d of 12 gatherers use the upstream 4 s after its limit has ended", len(senders))
+	}
+}
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -173,6 +173,18 @@
 	for _, h := range out.Handovers {
 		s.handOver(engine, h)
 	}
+	for _, end := range out.LimitEnds {
+		for i, e := range s.engines {
+			told := slices.ContainsFunc(end.To, func(h scatter.Host) bool { return h.ID == s.hosts[i].ID })
+			if told && e != nil {
+				s.later.Add(s.now.Add(simNetwork), func() {
+					if s.engines[i] == e {
+						s.step(i, scatter.LimitEnded{LimitEnd: end})
+					}
+				})
+			}
+		}
+	}
 	for _, a := range out.Answers {
 		s.answered(a)
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -236,6 +236,9 @@
 	if actions.Suspects != nil {
 		h.suspects.submit(actions.Suspects)
 	}
+	for _, end := range actions.LimitEnds {
+		h.reportLimitEnd(end)
+	}
 	for _, answer := range actions.Answers {
 		h.frontend.deliver(answer)
 	}
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +170,38 @@
 		t.Errorf("the host that first sent parts through the relays learned the limit %d times", got)
 	}
 }
+
+// TestEndOfALimitIsReported checks that a host which may send a limited server nothing
+// for long learns from another host that the limit has ended.
+func TestEndOfALimitIsReported(t *testing.T) {
+	t.Parallel()
+	cluster := newTwoShardCluster(t)
+	hosts := []*testHost{cluster.startHost("h1", 1), cluster.startHost("h2", 1), cluster.startHost("h3", 1), cluster.startHost("h4", 1)}
+	server := cluster.servers["a1"]
+	target := scatter.Upstream{ID: "a1", Address: server.Address(), Started: 1}
+	ask := func() {
+		for _, h := range hosts {
+			h.request("GET", "/fetch/x", fmt.Sprint("r-", time.Now().UnixNano()), "")
+		}
+	}
+	server.SetLimit(1) // three of the hosts share it
+	for _, h := range hosts {
+		eventually(t, func() error {
+			ask()
+			if !h.sender.notices.limitSince(target, time.Time{}).Stated {
+				return fmt.Errorf("%s knows of no limit", h.platformSettings.Host)
+			}
+			return nil
+		})
+	}
+	server.ClearLimit()
+	eventually(t, func() error {
+		ask()
+		for _, h := range hosts {
+			if strings.Contains(h.log.String(), "reported by h") {
+				return nil
+			}
+		}
+		return errors.New("no host has learned it from another one")
+	})
+}
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -213,6 +213,13 @@
 	s.limit, s.limitedSince = strconv.FormatFloat(perSecond, 'f', -1, 64), time.Now()
 }
 
+// ClearLimit ends the statement of a rate limit.
+func (s *Server) ClearLimit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = ""
+}
+
 // LimitedArrivals returns when the server began to state a rate limit, and the times
 // of the requests received since then.
 func (s *Server) LimitedArrivals() (since time.Time, arrivals []time.Time) {
