Soak: reserve the ports of a host together

Cause: host-28 got 127.1.0.29:42423 for its callers and for its control address, and its log ends with 'address already in use'.

Ruled out: load (the other 199 hosts were ready 1 s after their start).

Now all listeners of a host are open until the last port is known.

--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -221,10 +221,8 @@
 	// loopback address as their source, so none can occupy a port that was
 	// reserved here before the host listens on it.
 	ip := fmt.Sprintf("127.1.%d.%d", i/200, i%200+1)
-	for _, address := range []*string{&h.callers, &h.control, &h.readiness} {
-		if *address, err = freeAddress(ip); err != nil {
-			return err
-		}
+	if err := reserveAddresses(ip, &h.callers, &h.control, &h.readiness); err != nil {
+		return err
 	}
 	// Each failure domain has hosts with a full core and with a fifth of it.
 	cpuShare, domain := 1.0, fmt.Sprint("d", i/2%2+1)
@@ -249,14 +247,18 @@
 	return h.start(f.program, f.folder)
 }
 
-// freeAddress returns an "ip:port" with a free port.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", eris.Wrap(err, "free port")
+// reserveAddresses sets each address to an "ip:port" with a free port of its own.
+func reserveAddresses(ip string, addresses ...*string) error {
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return eris.Wrap(err, "free port")
+		}
+		// Closed only at the end, so that no port is returned twice.
+		defer func() { _ = l.Close() }()
+		*address = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // start starts the process unless it is already running.
