Do not run requests whose claim a restored platform may have lost

Cause: a lost claim cannot be told from one that never was. Nothing that survives holds it, so it can only be told for how long an earlier send is possible.

Change: the record of a partition also holds when it was first written in its era. For 10 minutes from then no request with such an id is run, and the answer is OutcomeUnknown; its claim stays, so that it is never run. Ids with an issue time are not concerned, nor is the first era. Weighed and left: to replicate claims between hosts (lost when all end), and to refuse such ids for good after a restore.

TestUntimedRequestRunsTwiceAfterARestore failed before ('no-uuid ran twice') and passes; it also checks that such requests run again after the window.

--- a/core/once/claim.go
+++ b/core/once/claim.go
@@ -52,7 +52,7 @@
 	g.call(core.PlatformCall{Op: core.PlatformPut, Key: claimKey(c.entry.requestID), Value: value},
 		func(now time.Time, r core.PlatformReply, out *core.Actions) {
 			if r.Kind == core.OK {
-				g.runClaimed(now, c, out)
+				g.runClaimed(now, c, r.Version, out)
 				return
 			}
 			g.readClaim(now, c, out)
@@ -81,17 +81,28 @@
 	case r.Kind != core.OK:
 		g.abandonClaim(c, out)
 	case json.Unmarshal(r.Value, &found) == nil && found == c.claim:
-		g.runClaimed(now, c, out)
+		g.runClaimed(now, c, r.Version, out)
 	default:
-		g.stats.Unknown++
-		unknown := reply(core.OutcomeUnknown, core.RanUnknown, 0, "the request id was claimed before")
-		g.dedup.finish(c.entry, unknown)
-		g.answerAll(c.entry, unknown, out)
+		g.finishUnknown(c, "the request id was claimed before", out)
 	}
 }
 
-// runClaimed runs a request whose claim this host owns.
-func (g *Guard) runClaimed(now time.Time, c *pendingClaim, out *core.Actions) {
+// finishUnknown ends a request that is not run since an earlier send of its id may
+// have run.
+func (g *Guard) finishUnknown(c *pendingClaim, detail string, out *core.Actions) {
+	g.stats.Unknown++
+	unknown := reply(core.OutcomeUnknown, core.RanUnknown, 0, detail)
+	g.dedup.finish(c.entry, unknown)
+	g.answerAll(c.entry, unknown, out)
+}
+
+// runClaimed runs a request whose claim this host owns, unless the platform may have
+// lost an earlier one.
+func (g *Guard) runClaimed(now time.Time, c *pendingClaim, version uint64, out *core.Actions) {
+	if g.mayBeLost(now, c.entry.requestID, version) {
+		g.finishUnknown(c, "the platform was restored, and may have lost a claim on the request id", out)
+		return
+	}
 	left := c.deadline.Sub(now)
 	if left <= 0 {
 		g.dedup.remove(c.entry)
--- a/core/once/config.go
+++ b/core/once/config.go
@@ -16,6 +16,7 @@
 	defaultClockSkew    = 500 * time.Millisecond
 	defaultCallTimeout  = 2 * time.Second
 	defaultMaxOutcomes  = 1 << 16
+	defaultResendWindow = 10 * time.Minute
 )
 
 // Config configures a Guard. Zero durations and limits select the defaults.
@@ -47,6 +48,10 @@
 	ClockSkew time.Duration
 	// CallTimeout limits one platform call.
 	CallTimeout time.Duration
+	// ResendWindow is how long after its first send a request id without an issue time
+	// may be sent again. For as long after a restore of the platform, such requests are
+	// not run.
+	ResendWindow time.Duration
 	// MaxOutcomes limits the number of requests whose outcomes are kept to
 	// answer resends.
 	MaxOutcomes int
@@ -61,6 +66,7 @@
 	setDefault(&c.ClockSkew, defaultClockSkew)
 	setDefault(&c.CallTimeout, defaultCallTimeout)
 	setDefault(&c.MaxOutcomes, defaultMaxOutcomes)
+	setDefault(&c.ResendWindow, defaultResendWindow)
 	return c
 }
 
--- a/core/once/partition.go
+++ b/core/once/partition.go
@@ -18,6 +18,9 @@
 	To          int64       `json:"to_ms"`
 	// Era is the era of the platform in which this was written; 0 is the first.
 	Era uint64 `json:"era,omitempty"`
+	// EraFrom is when the partition was first written in that era; left out in the
+	// first.
+	EraFrom int64 `json:"era_from_ms,omitempty"`
 }
 
 // partition is this host's state of one key partition.
@@ -35,9 +38,11 @@
 	closing bool
 	// callInFlight is set while a platform call for the partition is in flight.
 	callInFlight bool
-	// era is the era of the platform at the last read or write, and outdatedSince
-	// when this host first read in it a record of an earlier era.
+	// era is the era of the platform at the last read or write, eraFrom is from the
+	// record, 0 if none was written in that era, and outdatedSince is when this host
+	// first read in it a record of an earlier era.
 	era           uint64
+	eraFrom       int64
 	outdatedSince time.Time
 }
 
@@ -60,7 +65,7 @@
 		p.held = false
 	case p.callInFlight:
 	case p.closing:
-		g.write(p, record{From: p.from, To: p.to}, out)
+		g.write(now, p, record{From: p.from, To: p.to}, out)
 	case p.held:
 		g.extend(now, p, out)
 	case isHome:
@@ -82,7 +87,7 @@
 	if left > g.cfg.Lookahead-g.cfg.ExtendEvery {
 		return
 	}
-	g.write(p, g.ownRecord(p.from, max(p.to, now.Add(g.cfg.Lookahead).UnixMilli())), out)
+	g.write(now, p, g.ownRecord(p.from, max(p.to, now.Add(g.cfg.Lookahead).UnixMilli())), out)
 }
 
 func (g *Guard) ownRecord(from, to int64) record {
@@ -93,8 +98,11 @@
 	return r.Holder == g.cfg.Self && r.Incarnation == g.cfg.Incarnation
 }
 
-func (g *Guard) write(p *partition, r record, out *core.Actions) {
-	r.Era = p.recordEra()
+func (g *Guard) write(now time.Time, p *partition, r record, out *core.Actions) {
+	r.Era, r.EraFrom = p.recordEra(), p.eraFrom
+	if r.Era > 0 && r.EraFrom == 0 {
+		r.EraFrom = now.UnixMilli()
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
 		return
@@ -149,6 +157,9 @@
 // applyRecord updates the partition from the stored record, and starts a
 // takeover if another process's interval may be succeeded.
 func (g *Guard) applyRecord(now time.Time, p *partition, r record, out *core.Actions) {
+	if !p.isOutdated(r) {
+		p.eraFrom = r.EraFrom
+	}
 	switch {
 	case !g.isOwn(r):
 		p.held, p.closing = false, false
@@ -161,7 +172,7 @@
 		if p.closing {
 			next = record{From: p.from, To: p.to}
 		}
-		g.write(p, next, out)
+		g.write(now, p, next, out)
 	case p.isOutdated(r):
 		g.succeed(now, p, r, out)
 	case !p.held:
@@ -189,5 +200,5 @@
 		return
 	}
 	to := max(from, now.UnixMilli()) + g.cfg.Lookahead.Milliseconds()
-	g.write(p, g.ownRecord(from, to), out)
+	g.write(now, p, g.ownRecord(from, to), out)
 }
--- a/core/once/restore.go
+++ b/core/once/restore.go
@@ -7,13 +7,14 @@
 )
 
 // The platform may be restored from an older copy. A record of an earlier era than the
-// platform's may then lack extensions and takeovers under which keys were accepted.
+// platform's may then lack extensions and takeovers under which keys were accepted, and
+// claims on ids without an issue time are lost.
 
 // setVersion records the version of the last read or write.
 func (p *partition) setVersion(version uint64) {
 	p.version = version
 	if era := core.PositionOf(version).Era; era != p.era {
-		p.era, p.outdatedSince = era, time.Time{}
+		p.era, p.eraFrom, p.outdatedSince = era, 0, time.Time{}
 	}
 }
 
@@ -45,3 +46,14 @@
 		g.takeOver(p, max(r.To, lastEnd.UnixMilli()), now, out)
 	}
 }
+
+// mayBeLost reports whether an earlier claim on a request id may have been lost, given
+// the version of the one that was created now.
+func (g *Guard) mayBeLost(now time.Time, requestID string, version uint64) bool {
+	era := core.PositionOf(version).Era
+	if era <= core.FirstEra {
+		return false
+	}
+	p := g.partitionOf(requestID)
+	return p.era != era || p.eraFrom == 0 || now.Before(time.UnixMilli(p.eraFrom).Add(g.cfg.ResendWindow))
+}
--- a/core/once/restore_test.go
+++ b/core/once/restore_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -49,6 +50,9 @@
 			}
 			skew := time.Duration(random.Int64N(int64(3*time.Second))) - time.Second
 			id := key(w.now.Add(skew), uint64(i))
+			if random.IntN(4) == 0 {
+				id = fmt.Sprint("untimed-", i)
+			}
 			if len(sent) > 0 && random.IntN(3) == 0 {
 				id = sent[random.IntN(len(sent))]
 			}
@@ -93,23 +97,35 @@
 }
 
 // TestUntimedRequestRunsTwiceAfterARestore: the claim on a request id without an issue
-// time is lost, and the host that made it ends.
+// time is lost, and the host that made it ends. Such requests run again after the time
+// within which a lost id may be sent again.
 func TestUntimedRequestRunsTwiceAfterARestore(t *testing.T) {
 	w := newSim(t, 3, func(*Config) {})
 	w.runFor(5 * time.Second)
 	copied := w.store.copy()
-	send := func() {
-		w.sendRequest(w.hosts[1], "no-uuid", time.Second, "q")
+	send := func(id string) {
+		w.sendRequest(w.hosts[1], id, time.Second, "q")
 		w.runFor(500 * time.Millisecond)
 		for _, h := range w.hosts {
 			w.endRun(h, core.HasRun)
 		}
+		w.runFor(100 * time.Millisecond)
 	}
-	send()
+	send("no-uuid")
 	w.store.restore(copied)
 	for _, h := range slices.Clone(w.hosts) {
 		w.crash(h)
 	}
 	w.runFor(time.Minute)
-	send()
+	send("no-uuid")
+	w.wantAnswer(core.OutcomeUnknown)
+	w.runFor(defaultResendWindow)
+	send("after the window")
+	w.wantAnswer(core.OK)
+}
+
+func (w *sim) wantAnswer(kind core.Kind) {
+	if got := core.Kind(w.answers[len(w.answers)-1].reply.Kind); got != kind {
+		w.t.Fatalf("answered %v, want %v", got, kind)
+	}
 }
