Log which parts an answer lacks, and why

The log said that one part is missing, but neither which nor why: a part that is not sent, because its queue or its rate limit is longer than the gather's target, leaves no line at all.

Change: the line of the answer names the first five missing parts and the reason. No decision is changed.

TestGatherAnswersPartiallyAtItsTarget failed before ('gathered') and passes.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -381,7 +381,7 @@
 		}
 	}
 	e.stats.Answered++
-	e.finish(now, c, answer, "")
+	e.finish(now, c, answer, c.missingParts())
 }
 
 // removeCall marks a call as done, removes it from the open calls and stops its
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -122,6 +122,7 @@
 	payload   any
 	answered  bool // an answer was received
 	exhausted bool // no further attempt will be made
+	dropped   bool // not sent, since it was expected after the gather's target
 	waiting   bool // for an upstream with free capacity
 	executed  bool // an attempt has run or may have
 }
--- a/core/scatter/gather_test.go
+++ b/core/scatter/gather_test.go
@@ -124,6 +124,9 @@
 	if took := r.answered[call].Sub(epoch); a.Missing != 1 || took != 90*ms {
 		t.Errorf("%d missing after %v, want 1 after 90ms", a.Missing, took)
 	}
+	if detail := r.notes[len(r.notes)-1].Detail; detail != "gathered: without shard03, late" {
+		t.Errorf("the answer is logged as %q", detail)
+	}
 }
 
 // TestGatherBelowCoverageWaitsPastItsTarget checks that a gather with too few
--- a/core/scatter/queue.go
+++ b/core/scatter/queue.go
@@ -181,7 +181,8 @@
 		return true // queues at few services come from paused upstreams, not load
 	}
 	for i, p := range c.parts {
-		p.exhausted = expected[i] > left
+		p.dropped = expected[i] > left
+		p.exhausted = p.dropped
 	}
 	return true
 }
