--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -154,6 +154,8 @@
 	Route     string
 	Service   core.ServiceID
 	Upstream  core.UpstreamID
+	// Relay is the host that relayed the attempt; empty for a direct one.
+	Relay core.HostID
 	// Fingerprint identifies the content of the request, whichever caller sends it.
 	Fingerprint core.Fingerprint
 	// UpstreamsLost counts the upstreams that may have crashed because of the
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
 )
 
 const (
@@ -63,8 +65,15 @@
 // noteFailedAttempt logs an attempt that did not succeed.
 func (e *Engine) noteFailedAttempt(now time.Time, a *attempt, r AttemptEnded) {
 	c := a.part.call
+	var relay core.HostID
+	if a.via != nil {
+		relay = a.via.ID
+		e.stats.RelayedFailures++
+	} else {
+		e.stats.DirectFailures++
+	}
 	e.note(Note{
-		Decision: DecisionAttemptFailed, RequestID: c.request.RequestID, Route: c.route.Name, Service: a.part.service, Upstream: a.to.ID,
+		Decision: DecisionAttemptFailed, Relay: relay, RequestID: c.request.RequestID, Route: c.route.Name, Service: a.part.service, Upstream: a.to.ID,
 		Attempt: a.part.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: r.Outcome.String() + ": " + r.Cause,
 		Fingerprint: c.request.Fingerprint,
 	})
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -80,6 +80,9 @@
 	Limited uint64
 	// LimitRefused counts the requests refused because of stated rate limits.
 	LimitRefused uint64
+	// DirectFailures counts the attempts of open calls that failed on the way from
+	// this host to the upstream or there, RelayedFailures those sent through a relay.
+	DirectFailures, RelayedFailures uint64
 }
 
 // timerFunc is called when a timer is due.
--- a/edge/log.go
+++ b/edge/log.go
@@ -60,6 +60,7 @@
 	text("route", note.Route)
 	text("service", string(note.Service))
 	text("upstream", string(note.Upstream))
+	text("relay", string(note.Relay))
 	text("detail", note.Detail)
 	number := func(key string, value int) {
 		if value != 0 {
