--- a/core/scatter/rate_limit_test.go
+++ b/core/scatter/rate_limit_test.go
@@ -111,10 +111,8 @@
 				s := newTier(tt.hosts, 10, simSweep, simQuick)
 				random := rand.New(rand.NewPCG(seed, 2))
 				s.random = random
-				if s.relay = tt.relay; s.relay {
-					for i := range s.hosts {
-						s.start(i)
-					}
+				if tt.relay {
+					s.enableRelay()
 				}
 				s.offer(tt.load, time.Second, simMix...)
 				s.stateLimit(tt.limit, s.id(0, 0))
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -27,6 +27,19 @@
 	callsByID map[core.CallID]*simCall
 	routes    map[string]simRoute
 	relay     bool // hosts relay parts for each other
+
+	cuts map[core.HostID]cutKind // hosts that reach no upstream
+	// cutAt is when each host was last cut off, open are the connections.
+	cutAt                map[core.HostID]time.Time
+	open                 map[simLink]bool
+	counting             bool // whether first tries are counted
+	cutTries, otherTries firstTries
+}
+
+// simLink is a connection of a host to an upstream.
+type simLink struct {
+	host core.HostID
+	to   core.UpstreamID
 }
 
 // simUpstream is one simulated upstream.
@@ -71,6 +84,7 @@
 	first   time.Time // when the caller sent its first attempt
 	retried bool
 	result  *simResult
+	tries   *firstTries // that count this call
 	// handover is the host and the call of a request that was handed over.
 	handover *simHandover
 }
@@ -96,6 +110,7 @@
 	s := &tier{
 		now: epoch, random: rand.New(rand.NewPCG(1, 2)), upstreams: map[core.UpstreamID]*simUpstream{},
 		callsByID: map[core.CallID]*simCall{}, routes: map[string]simRoute{},
+		cuts: map[core.HostID]cutKind{}, cutAt: map[core.HostID]time.Time{}, open: map[simLink]bool{},
 	}
 	for i := range hosts {
 		s.hosts = append(s.hosts, scatter.Host{ID: core.HostID(fmt.Sprint("host-", i)), Domain: core.DomainID(fmt.Sprint("d", i%3)), Cores: 1})
@@ -161,14 +176,7 @@
 		if send.Via.ID != "" {
 			sender = send.Via.ID
 		}
-		s.recordArrival(send.Target.ID, sender)
-		after, outcome := s.serve(send)
-		s.later.Add(s.now.Add(after), func() {
-			notice := s.notice(send.Target.ID, sender)
-			if s.engines[engine] == e {
-				s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part", Notice: notice})
-			}
-		})
+		s.send(engine, sender, send)
 	}
 	for _, h := range out.Handovers {
 		s.handOver(engine, h)
@@ -190,6 +198,45 @@
 	}
 }
 
+// send carries out a send, which a host decided and sender, itself or a relay, makes.
+func (s *tier) send(engine int, sender core.HostID, send scatter.Send) {
+	e, sentAt := s.engines[engine], s.now
+	end := func(outcome scatter.Outcome, notice scatter.Notice) {
+		if s.engines[engine] == e {
+			s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part", Notice: notice})
+		}
+	}
+	kind := s.cuts[sender]
+	link := simLink{sender, send.Target.ID}
+	if kind != noCut && !(kind == spares && s.open[link]) {
+		after, outcome := s.cutSend(kind, sender, send)
+		s.later.Add(s.now.Add(after), func() { end(outcome, scatter.Notice{}) })
+		return
+	}
+	s.recordArrival(send.Target.ID, sender)
+	after, outcome := s.serve(send)
+	s.open[link] = true
+	s.later.Add(s.now.Add(after), func() {
+		if kind := s.cuts[sender]; kind != noCut && kind != spares && s.cutAt[sender].After(sentAt) {
+			after, outcome := s.interrupted(kind, send)
+			s.later.Add(s.now.Add(after), func() { end(outcome, scatter.Notice{}) })
+			return
+		}
+		if s.random.Float64() < closeShare {
+			delete(s.open, link)
+		}
+		end(outcome, s.notice(send.Target.ID, sender))
+	})
+}
+
+// enableRelay restarts all hosts, which then relay parts for each other.
+func (s *tier) enableRelay() {
+	s.relay = true
+	for i := range s.hosts {
+		s.start(i)
+	}
+}
+
 // recordArrival records a request at an upstream that states a limit.
 func (s *tier) recordArrival(id core.UpstreamID, sender core.HostID) {
 	u := s.upstreams[id]
@@ -291,6 +338,13 @@
 	s.callsByID[s.calls] = call
 	if !retried {
 		result.asked++
+		if s.counting {
+			call.tries = &s.otherTries
+			if s.cuts[s.hosts[engine].ID] != noCut {
+				call.tries = &s.cutTries
+			}
+			call.tries.asked++
+		}
 	}
 	s.arrival(s.calls, scatter.RequestArrived{At: s.now, Budget: first.Add(route.deadline).Sub(s.now)})()
 }
@@ -311,6 +365,9 @@
 		s.endHandover(*call.handover, s.hosts[call.engine].ID, outcome)
 		return
 	}
+	if served && call.tries != nil {
+		call.tries.served++
+	}
 	switch {
 	case served && took <= call.route.target:
 		call.result.inTarget++
