A relay that cannot reach an upstream reports the part as not relayed

Cause: a relay passed its own connection failure on as the outcome of the attempt, and the requesting host took it for the upstream's. Class: evidence about the path of one host used as evidence about an upstream. Fix: what a relay cannot reach counts as not relayed, like a withheld attempt. The part is then sent directly, and the upstream keeps its state.

--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -257,6 +257,16 @@
 // MayHaveArrived reports whether the upstream received the request or may have.
 func (o Outcome) MayHaveArrived() bool { return o != Unreached && o != NotRelayed && o != Withheld }
 
+// AsRelayed returns the outcome that a relay reports for an attempt that ended
+// this way there. An upstream that a relay cannot reach, or that asked the relay
+// to back off, may be available to the requesting host.
+func (o Outcome) AsRelayed() Outcome {
+	if o == Unreached || o == Withheld {
+		return NotRelayed
+	}
+	return o
+}
+
 // Answered reports whether the upstream answered.
 func (o Outcome) Answered() bool {
 	return o == Succeeded || o == Failed || o == NotExecuted || o == WrongInstance
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -138,3 +138,24 @@
 	}
 	return list
 }
+
+// TestPartitionedRelayDiscreditsNoUpstream: parts that a relay cannot send are sent
+// directly, and their upstreams are not taken for failed ones.
+func TestPartitionedRelayDiscreditsNoUpstream(t *testing.T) {
+	for _, kind := range []cutKind{hangs, resets, refuses, spares} {
+		s := newTier(8, 10, simSweep, simQuick)
+		s.enableRelay()
+		s.offer(60, 2*time.Second, simMix...)
+		s.partition(kind, 0, 0, 3, 6)
+		suspected := 0
+		s.noted = func(by core.HostID, n scatter.Note) {
+			if n.Decision == scatter.DecisionUpstreamSuspected && s.cuts[by] == noCut {
+				suspected++
+			}
+		}
+		s.offer(60, 4*time.Second, simMix...)
+		if suspected > 0 {
+			t.Errorf("%s: hosts that reach all upstreams suspected some %d times", cutNames[kind], suspected)
+		}
+	}
+}
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -33,6 +33,7 @@
 	cutAt                map[core.HostID]time.Time
 	open                 map[simLink]bool
 	counting             bool // whether first tries are counted
+	noted                func(core.HostID, scatter.Note)
 	cutTries, otherTries firstTries
 }
 
@@ -178,6 +179,11 @@
 		}
 		s.send(engine, sender, send)
 	}
+	for _, n := range out.Notes {
+		if s.noted != nil {
+			s.noted(s.hosts[engine].ID, n)
+		}
+	}
 	for _, h := range out.Handovers {
 		s.handOver(engine, h)
 	}
@@ -210,6 +216,9 @@
 	link := simLink{sender, send.Target.ID}
 	if kind != noCut && !(kind == spares && s.open[link]) {
 		after, outcome := s.cutSend(kind, sender, send)
+		if send.Via.ID != "" {
+			outcome = outcome.AsRelayed()
+		}
 		s.later.Add(s.now.Add(after), func() { end(outcome, scatter.Notice{}) })
 		return
 	}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -189,7 +189,7 @@
 // encodePart returns the result of one send with the records that keeper selects.
 func encodePart(index int, replied scatter.AttemptEnded, took time.Duration, keeper *scatter.TopKeeper) *edgepb.RelayedPart {
 	part := &edgepb.RelayedPart{
-		Index: int32(index), Outcome: int32(replied.Outcome), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
+		Index: int32(index), Outcome: int32(replied.Outcome.AsRelayed()), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
 	}
 	if reply, ok := replied.Payload.(*platform.Reply); ok && replied.Outcome == scatter.Succeeded {
 		part.Signature, part.Records = reply.Part(keeper)
@@ -200,8 +200,5 @@
 	if limit := replied.Notice.Limit; limit.Stated {
 		part.Limit = &limit.PerSecond
 	}
-	if replied.Outcome == scatter.Withheld {
-		part.Outcome = int32(scatter.NotRelayed)
-	}
 	return part
 }
