Hand requests over while this host reaches no upstream

Cause: nothing tells a host's own lost links from failed upstreams. A gatherer answers its callers itself, whatever happens, goes on relaying and takes handed-over requests. Class: a host that cannot do its work keeps its share of it. Ruled out: withdrawing from callers. A domain with too few ready hosts keeps all its callers, and open connections stay. Fix: when three upstreams fail, connections to five others are opened. If none can be, the host is partitioned: it hands its callers' requests over like an entry host, declines what others hand over or want relayed, and refuses at once what no other host accepts, but for a trial now and then. Two rounds in a row in which most connections open end the state, and what was concluded of upstreams is forgotten.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -22,13 +22,21 @@
 	Notes              []Note
 	// Checks are the upstreams to which a connection is to be attempted, without
 	// a request.
-	Checks []Upstream
+	Checks []Check
 	// Suspects is to be stored for all hosts; nil if it has not changed.
 	Suspects *SuspectReport
 	// LimitEnds are to be sent to the other gatherers.
 	LimitEnds []LimitEnd
 }
 
+// Check is an upstream to which a connection is to be attempted, without a request.
+type Check struct {
+	Target Upstream
+	// Round identifies the round of checks of this host's connectivity; it is 0 for
+	// the check of an upstream that may have crashed.
+	Round uint64
+}
+
 // LimitEnd reports that an upstream has answered without the rate limit that it stated.
 type LimitEnd struct {
 	ID      core.UpstreamID
@@ -205,6 +213,8 @@
 	DecisionRequestQuarantined     Decision = "request_quarantined"
 	DecisionDomainSilent           Decision = "failure_domain_silent"
 	DecisionDomainResponsive       Decision = "failure_domain_heard"
+	DecisionPartitioned            Decision = "upstreams_unreachable"
+	DecisionReconnected            Decision = "upstreams_reachable"
 	DecisionWithdraw               Decision = "callers_turned_away"
 	DecisionReturn                 Decision = "callers_taken_again"
 )
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -36,6 +36,7 @@
 	if r.Outcome.Answered() {
 		e.recordDomainAlive(now, u.Domain)
 	}
+	e.observeConnectivity(now, a, r.Outcome)
 	e.countLimitedSend(a)
 	e.recordNotice(now, a, r)
 	e.recordOutcome(now, a, r)
@@ -153,7 +154,7 @@
 		return
 	}
 	if e.quarantine.recordLoss(now, u.Start(), loss{c.request.Fingerprint, len(c.parts), a.sentAt, now}) {
-		e.out.Checks = append(e.out.Checks, u.Upstream)
+		e.out.Checks = append(e.out.Checks, Check{Target: u.Upstream})
 	}
 }
 
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -21,7 +21,7 @@
 // handleRequest routes a request and sends its parts, or refuses it at once.
 func (e *Engine) handleRequest(now time.Time, a RequestArrived) {
 	e.stats.Requests++
-	if a.FromHost && !a.AllowStale && (!e.Ready() || e.directory.stale(now)) {
+	if a.FromHost && (e.connectivity.partitioned || !a.AllowStale && (!e.Ready() || e.directory.stale(now))) {
 		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
 		return
 	}
@@ -29,6 +29,11 @@
 		e.handOver(now, a)
 		return
 	}
+	e.answerRequest(now, a)
+}
+
+// answerRequest has this host answer a request from upstreams.
+func (e *Engine) answerRequest(now time.Time, a RequestArrived) {
 	if !e.Ready() {
 		e.refuseUnrouted(now, a, "the configuration or the upstreams are not known yet")
 		return
@@ -44,6 +49,10 @@
 		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
 		return
 	}
+	if !e.mayTryUpstreams(now, route) {
+		e.refuseUnrouted(now, a, "this host does not reach the upstreams, and no other host accepts the request")
+		return
+	}
 	c := e.newCall(a, route)
 	if !a.Repeat { // the first host has already counted a repeat
 		for _, p := range c.parts {
@@ -279,6 +288,7 @@
 		send.Connections = e.sharesOf(service).maxConnections(u.Domain, u.Domain)
 	}
 	e.out.Sends = append(e.out.Sends, send)
+	e.scanStalls(now)
 }
 
 // isExtra reports whether an upstream of the service may already have received
--- /dev/null
+++ b/core/scatter/connectivity.go
@@ -0,0 +1,288 @@
+package scatter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minFailingUpstreams is how many upstreams have to fail at the same time for
+	// this host to check its own connectivity.
+	minFailingUpstreams = 3
+	// failureTTL is how long the failure of an upstream counts.
+	failureTTL = 3 * time.Second
+	// stallScanInterval is the time between two scans for direct attempts that are
+	// not answered, unansweredAfter how long an attempt must have run to count. It
+	// is longer than the usual pauses of upstreams.
+	stallScanInterval = 100 * time.Millisecond
+	unansweredAfter   = 250 * time.Millisecond
+	// roundTimeout is when a round without all results ends. It decides nothing,
+	// since this process did not run meanwhile or is overloaded.
+	roundTimeout = 2 * time.Second
+	// connectivityChecks is how many upstreams a round checks, recoveryChecks how
+	// many while this host is partitioned.
+	connectivityChecks = 5
+	recoveryChecks     = 3
+	// checkRoundInterval is the least time between the starts of two rounds,
+	// recoveryInterval the time between two rounds while this host is partitioned.
+	// recoveredAfterRounds is how many of those in a row have to succeed.
+	checkRoundInterval   = time.Second
+	recoveryInterval     = 500 * time.Millisecond
+	recoveredAfterRounds = 2
+	// trialRequestInterval is the time between two requests that a partitioned host
+	// tries to answer itself if no other host accepts them, unless an upstream has
+	// answered within openConnectionTTL: connections that are open may still work.
+	trialRequestInterval = 200 * time.Millisecond
+	openConnectionTTL    = time.Second
+)
+
+// connectivity tracks whether this host can reach the upstreams.
+//
+// A host that has lost its own links fails all requests, and takes upstreams that
+// work for failed ones. Failed attempts alone do not distinguish the two cases, so
+// when several upstreams fail, the host opens connections to others: it is
+// partitioned if none can be opened.
+type connectivity struct {
+	partitioned bool
+	since       time.Time // of the last change of partitioned
+	answeredAt  time.Time // of the last answer to a direct attempt
+	trialAt     time.Time // of the last trial request
+	// failing holds when a direct attempt at an upstream last failed.
+	failing map[*upstream]time.Time
+	// round is the round of checks in progress; nil if there is none. roundAt is
+	// when the last one began, succeededRounds counts those that succeeded in a row.
+	round           *checkRound
+	rounds          uint64
+	roundAt         time.Time
+	succeededRounds int
+	scanning        bool // whether the timer of the scan is set
+	scheduled       bool // whether the timer of the next round is set
+}
+
+// checkRound is a round of checks of several upstreams.
+type checkRound struct {
+	id              uint64
+	checks          int
+	opened, refused int
+	missing         int // checks that have not ended
+}
+
+// Partitioned reports whether this host cannot reach the upstreams.
+func (e *Engine) Partitioned() bool { return e.connectivity.partitioned }
+
+// observeConnectivity takes the end of a direct attempt into account.
+func (e *Engine) observeConnectivity(now time.Time, a *attempt, outcome Outcome) {
+	if a.via != nil {
+		return
+	}
+	c := &e.connectivity
+	callerLeft := a.part.call.done && now.Before(a.part.call.deadline)
+	switch {
+	case outcome.Answered():
+		c.answeredAt = now
+		delete(c.failing, a.to)
+	case (outcome == Unreached || outcome == Lost) && !callerLeft:
+		c.failing[a.to] = now
+		e.suspectConnectivity(now)
+	}
+}
+
+// scanStalls scans the direct attempts for those that are not answered, as long as
+// there are any.
+func (e *Engine) scanStalls(now time.Time) {
+	c := &e.connectivity
+	if c.scanning {
+		return
+	}
+	c.scanning = true
+	e.timers.Add(now.Add(stallScanInterval), func(now time.Time) {
+		c.scanning = false
+		running := false
+		for _, a := range e.attempts {
+			if a.via != nil {
+				continue
+			}
+			running = true
+			if now.Sub(a.sentAt) >= unansweredAfter && now.After(a.overdueAt) {
+				c.failing[a.to] = now
+			}
+		}
+		if running {
+			e.scanStalls(now)
+		}
+		e.suspectConnectivity(now)
+	})
+}
+
+// suspectConnectivity starts a round of checks if enough upstreams fail.
+func (e *Engine) suspectConnectivity(now time.Time) {
+	c := &e.connectivity
+	if c.partitioned || c.round != nil || now.Sub(c.roundAt) < checkRoundInterval {
+		return
+	}
+	for u, at := range c.failing {
+		if u.removed || now.Sub(at) > failureTTL {
+			delete(c.failing, u)
+		}
+	}
+	if len(c.failing) == 0 || len(c.failing) < min(minFailingUpstreams, len(e.directory.byID)) {
+		return
+	}
+	e.startCheckRound(now)
+}
+
+// startCheckRound starts to open connections to several upstreams, preferably to
+// those that have not failed.
+func (e *Engine) startCheckRound(now time.Time) {
+	c := &e.connectivity
+	checks := connectivityChecks
+	if c.partitioned {
+		checks = recoveryChecks
+	}
+	targets := e.directory.sorted()
+	for i := range targets { // a random order
+		other := i + int(e.options.Random()*float64(len(targets)-i))
+		targets[i], targets[other] = targets[other], targets[i]
+	}
+	if !c.partitioned {
+		slices.SortStableFunc(targets, func(a, b *upstream) int { return compareBool(c.isFailing(a), c.isFailing(b)) })
+	}
+	targets = targets[:min(len(targets), checks)]
+	c.rounds++
+	c.roundAt = now
+	c.round = &checkRound{id: c.rounds, checks: len(targets), missing: len(targets)}
+	for _, u := range targets {
+		e.out.Checks = append(e.out.Checks, Check{Target: u.Upstream, Round: c.rounds})
+	}
+	round := c.round
+	e.timers.Add(now.Add(roundTimeout), func(now time.Time) {
+		if c.round == round {
+			e.endCheckRound(now, false)
+		}
+	})
+}
+
+func (c *connectivity) isFailing(u *upstream) bool {
+	_, failing := c.failing[u]
+	return failing
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// handleConnectivityCheck processes the result of one check of a round.
+func (e *Engine) handleConnectivityCheck(now time.Time, checked UpstreamChecked) {
+	c := &e.connectivity
+	if c.round == nil || c.round.id != checked.Round {
+		return
+	}
+	c.round.missing--
+	switch checked.Result {
+	case UpstreamListens:
+		c.round.opened++
+	case UpstreamRefuses:
+		c.round.refused++
+	case CheckFailed:
+	}
+	if c.round.missing == 0 || c.round.opened > 0 && !c.partitioned {
+		e.endCheckRound(now, true)
+	}
+}
+
+// endCheckRound decides by a round of checks whether this host is partitioned. It
+// is so from a round in which no connection was opened until several rounds in a
+// row in which most were. An incomplete round decides nothing.
+func (e *Engine) endCheckRound(now time.Time, complete bool) {
+	c := &e.connectivity
+	round := c.round
+	c.round = nil
+	switch {
+	case !complete:
+	case !c.partitioned && round.opened == 0 && round.checks > 0:
+		e.enterPartition(now, round)
+	case c.partitioned && 2*round.opened > round.checks:
+		if c.succeededRounds++; c.succeededRounds >= recoveredAfterRounds {
+			e.leavePartition(now)
+		}
+	default:
+		c.succeededRounds = 0
+	}
+	if c.partitioned {
+		e.scheduleRecoveryRound(now)
+	}
+}
+
+func (e *Engine) scheduleRecoveryRound(now time.Time) {
+	c := &e.connectivity
+	if c.scheduled {
+		return
+	}
+	c.scheduled = true
+	e.timers.Add(now.Add(recoveryInterval), func(now time.Time) {
+		c.scheduled = false
+		if c.partitioned && c.round == nil {
+			e.startCheckRound(now)
+		}
+	})
+}
+
+func (e *Engine) enterPartition(now time.Time, round *checkRound) {
+	c := &e.connectivity
+	e.stats.Partitions++
+	e.note(Note{
+		Decision: DecisionPartitioned, Age: since(now, c.answeredAt), UpstreamsLost: len(c.failing), Attempt: round.checks,
+		Detail: fmt.Sprintf("no connection to an upstream can be opened, %d of %d refused", round.refused, round.checks),
+	})
+	c.partitioned, c.since, c.succeededRounds = true, now, 0
+}
+
+// leavePartition discards what this host has concluded about upstreams while it
+// could not reach them.
+func (e *Engine) leavePartition(now time.Time) {
+	c := &e.connectivity
+	e.note(Note{Decision: DecisionReconnected, Age: now.Sub(c.since)})
+	c.partitioned, c.since = false, now
+	clear(c.failing)
+	for _, u := range e.directory.byID {
+		u.forgetEstimates()
+	}
+	for _, q := range e.queues {
+		q.forgetRate()
+	}
+	e.admission.share = initialAdmissionShare
+	for _, id := range slices.Sorted(maps.Keys(e.queues)) {
+		e.dispatchQueued(now, id)
+	}
+}
+
+// mayTryUpstreams reports whether a partitioned host should try to answer a request
+// that no other host accepts. The trial must be harmless if it fails.
+func (e *Engine) mayTryUpstreams(now time.Time, r *Route) bool {
+	c := &e.connectivity
+	switch {
+	case !c.partitioned || now.Sub(c.answeredAt) < openConnectionTTL:
+		return true
+	case !r.Repeatable || now.Sub(c.trialAt) < trialRequestInterval:
+		return false
+	}
+	c.trialAt = now
+	return true
+}
+
+// since returns the time that has passed since then, or 0 if then is the zero time.
+func since(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return 0
+	}
+	return now.Sub(then)
+}
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -439,6 +439,13 @@
 	u.backoffUntil = time.Time{}
 }
 
+// forgetEstimates discards what this host has concluded from answers that did not
+// come.
+func (u *upstream) forgetEstimates() {
+	u.resetBackoff()
+	u.slowness, u.failureShare = 1, 0
+}
+
 // coldAllows reports whether this host may send an upstream one more request as
 // far as its cold rate is concerned. A few hosts, chosen by rendezvous hashing,
 // share the rate of a cold upstream; the others send it nothing.
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -55,6 +55,7 @@
 	admission          admission
 	domains            domainMonitor
 	domainWatchStarted bool
+	connectivity       connectivity
 	// unservedShare is a moving average of the share of requests that were not
 	// served; withdrawn is true while this host accepts no callers.
 	unservedShare float64
@@ -83,6 +84,8 @@
 	// DirectFailures counts the attempts of open calls that failed on the way from
 	// this host to the upstream or there, RelayedFailures those sent through a relay.
 	DirectFailures, RelayedFailures uint64
+	// Partitions counts how often this host lost its connections to the upstreams.
+	Partitions uint64
 }
 
 // timerFunc is called when a timer is due.
@@ -160,6 +163,8 @@
 		quarantine: newQuarantine(options.Self),
 		splits:     map[*Route]*weightedRoundRobin{},
 		admission:  admission{share: initialAdmissionShare},
+
+		connectivity: connectivity{failing: map[*upstream]time.Time{}},
 	}
 }
 
@@ -274,7 +279,11 @@
 	case HostsSilent:
 		e.recordSilenceReport(now, event)
 	case UpstreamChecked:
-		e.handleCheck(now, event)
+		if event.Round != 0 {
+			e.handleConnectivityCheck(now, event)
+		} else {
+			e.handleCheck(now, event)
+		}
 	case SuspectsSeen:
 		e.handleSuspects(now, event)
 	case StoreReachable:
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -148,6 +148,7 @@
 type UpstreamChecked struct {
 	Upstream UpstreamStart
 	Result   CheckResult
+	Round    uint64 // see Check
 }
 
 // Suspect is a request fingerprint and the upstreams that crashed while they ran
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -106,7 +106,7 @@
 	if a.FromHost || len(e.fleet.peers) == 0 {
 		return false
 	}
-	return e.fleet.role != Gatherer || !e.Ready()
+	return e.fleet.role != Gatherer || !e.Ready() || e.connectivity.partitioned
 }
 
 // handOver hands a request over to the host with the lowest cost, and ends the
@@ -224,7 +224,7 @@
 	e.aloneUntil = now.Add(localAnswerPeriod)
 	a := h.request
 	a.FromHost, a.AllowStale = true, true
-	e.handleRequest(now, a)
+	e.answerRequest(now, a)
 }
 
 // localAnswerPeriod is how long a host stays ready to send to upstreams after no
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -23,7 +23,8 @@
 var cutNames = [...]string{"none", "hangs", "resets", "refuses", "spares open connections"}
 
 const (
-	simDialTimeout = 500 * ms
+	simDialTimeout  = 500 * ms
+	simCheckTimeout = 300 * ms
 	// closeShare is the share of answers after which an upstream closes the
 	// connection.
 	closeShare = 0.05
@@ -68,6 +69,28 @@
 	return 0, scatter.Lost
 }
 
+// check returns how a check of an upstream by a host ends.
+func (s *tier) check(by core.HostID) (time.Duration, scatter.CheckResult) {
+	switch s.cuts[by] {
+	case noCut:
+		return 2 * simNetwork, scatter.UpstreamListens
+	case refuses, spares:
+		return 2 * simNetwork, scatter.UpstreamRefuses
+	default:
+		return simCheckTimeout, scatter.CheckFailed
+	}
+}
+
+// isPartitioned reports whether a host has found out that it is cut off.
+func (s *tier) isPartitioned(id core.HostID) bool {
+	for i, h := range s.hosts {
+		if h.ID == id {
+			return s.engines[i] != nil && s.engines[i].Partitioned()
+		}
+	}
+	return false
+}
+
 // countFirstTries counts first tries by whether their host was cut off, from the
 // contact time after the cut on.
 func (s *tier) countFirstTries() {
@@ -159,3 +182,111 @@
 		}
 	}
 }
+
+// cutOff makes all connections of the rig's host fail, or work again.
+func (r *rig) cutOff(cut bool) {
+	r.refuses, r.serve = nil, nil
+	if cut {
+		r.refuses = func(core.UpstreamID) bool { return true }
+		r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return ms, scatter.Unreached }
+	}
+}
+
+// TestFailedUpstreamsAreNoPartition: a host does not take itself for partitioned
+// while most of the upstreams are down, nor when it alone was suspended.
+func TestFailedUpstreamsAreNoPartition(t *testing.T) {
+	down := func(id core.UpstreamID) bool { return id[len(id)-1] == 'a' || id < "shard04" }
+	r := newRig(t)
+	r.configure(1, 10)
+	r.warmUp(gatherPath, 10*ms)
+	r.refuses = down
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if down(s.Target.ID) {
+			return ms, scatter.Unreached
+		}
+		return 10 * ms, scatter.Succeeded
+	}
+	for range 200 {
+		r.ask(gatherPath)
+		r.run(20 * ms)
+	}
+	if r.engine.Partitioned() {
+		t.Error("partitioned, though upstreams answer")
+	}
+	if r.checks == 0 || r.checks > 40 {
+		t.Errorf("%d checks in 4 s", r.checks)
+	}
+
+	r = newRig(t)
+	r.configure(1, 10)
+	r.warmUp(gatherPath, 10*ms)
+	r.ask(gatherPath)
+	r.now = r.now.Add(time.Minute) // what is due meanwhile comes late
+	r.run(time.Second)
+	if r.engine.Partitioned() {
+		t.Error("partitioned after a suspension")
+	}
+}
+
+// TestPartitionedHostWithoutOthersRefusesAtOnce: requests that neither this host nor
+// another one can serve do not wait for their deadlines, and are served soon after
+// the upstreams are reached again, whatever was concluded about these meanwhile.
+func TestPartitionedHostWithoutOthersRefusesAtOnce(t *testing.T) {
+	for _, path := range []string{gatherPath, fetchPath, orderPath} {
+		r := newRig(t)
+		r.configure(1, 10)
+		r.warmUp(gatherPath, 10*ms)
+		r.cutOff(true)
+		r.ask(gatherPath)
+		r.run(2 * time.Second)
+		if !r.engine.Partitioned() {
+			t.Fatal("not partitioned")
+		}
+		refused := 0
+		for range 50 {
+			call := r.ask(path)
+			r.run(20 * ms)
+			if a, found := r.answers[call]; found && a.Kind == scatter.Refused && a.RetryAfter > 0 {
+				refused++
+			}
+		}
+		if refused < 40 {
+			t.Errorf("%s: %d of 50 requests refused at once", path, refused)
+		}
+		r.cutOff(false)
+		r.run(1500 * ms)
+		for range 10 {
+			call := r.ask(path)
+			r.run(50 * ms)
+			if a := r.answers[call]; a.Kind != scatter.Gathered && a.Kind != scatter.PassedOn || a.Missing > 0 {
+				t.Errorf("%s: %v without %d parts after the partition", path, a.Kind, a.Missing)
+			}
+		}
+	}
+}
+
+// TestPartitionedHostTakesNoWork: a partitioned host declines what other hosts hand
+// over, and hands nothing of it on.
+func TestPartitionedHostTakesNoWork(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 10)
+	r.warmUp(gatherPath, 10*ms)
+	r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return 5 * ms, scatter.Succeeded }
+	r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Cores: 1}, {ID: "host-2", Domain: "d2", Cores: 1}}})
+	r.cutOff(true)
+	r.ask(gatherPath)
+	r.run(2 * time.Second)
+	r.handovers, r.sends = nil, nil
+	for _, stale := range []bool{false, true} {
+		r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Budget: time.Second, FromHost: true, AllowStale: stale}), scatter.Declined)
+	}
+	if len(r.handovers) > 0 || len(r.sends) > 0 {
+		t.Errorf("%d handovers and %d sends for requests of other hosts", len(r.handovers), len(r.sends))
+	}
+	call := r.ask(orderPath)
+	r.run(50 * ms)
+	r.want(call, scatter.PassedOn)
+	if len(r.handovers) != 1 || r.handovers[0].Repeat {
+		t.Errorf("the host's own request was handed over as %+v", r.handovers)
+	}
+}
--- a/core/scatter/quarantine_tier_test.go
+++ b/core/scatter/quarantine_tier_test.go
@@ -82,12 +82,13 @@
 		}
 		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome}) })
 	}
-	for _, u := range out.Checks {
+	for _, check := range out.Checks {
+		u := check.Target
 		result := scatter.UpstreamListens
 		if s.now.Before(s.downUntil[u.ID]) {
 			result = scatter.UpstreamRefuses
 		}
-		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.UpstreamChecked{Upstream: u.Start(), Result: result}) })
+		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.UpstreamChecked{Upstream: u.Start(), Result: result, Round: check.Round}) })
 	}
 	if out.Suspects != nil {
 		n := slices.Index(s.hosts, e)
--- a/core/scatter/queue.go
+++ b/core/scatter/queue.go
@@ -57,6 +57,9 @@
 	q.latency += time.Duration(latencyGain * float64(latency-q.latency))
 }
 
+// forgetRate discards the measured service rate and latency.
+func (q *queue) forgetRate() { q.endCount, q.latency = 0, 0 }
+
 // add appends a part to the queue.
 func (q *queue) add(now time.Time, p *part) {
 	if len(q.parts) == 0 && !q.drainedAt.Equal(now) {
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -104,13 +104,14 @@
 		replied.Attempt, replied.Payload = s.Attempt, string(s.Target.ID)
 		r.later.Add(r.now.Add(after), func() { r.step(replied) })
 	}
-	for _, u := range out.Checks {
+	for _, check := range out.Checks {
+		u := check.Target
 		r.checks++
 		result := scatter.UpstreamListens
 		if r.refuses != nil && r.refuses(u.ID) {
 			result = scatter.UpstreamRefuses
 		}
-		r.later.Add(r.now.Add(ms), func() { r.step(scatter.UpstreamChecked{Upstream: u.Start(), Result: result}) })
+		r.later.Add(r.now.Add(ms), func() { r.step(scatter.UpstreamChecked{Upstream: u.Start(), Result: result, Round: check.Round}) })
 	}
 	if out.Suspects != nil {
 		r.storedSuspects = append(r.storedSuspects, out.Suspects.Suspects)
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -179,6 +179,14 @@
 		}
 		s.send(engine, sender, send)
 	}
+	for _, check := range out.Checks {
+		after, result := s.check(s.hosts[engine].ID)
+		s.later.Add(s.now.Add(after), func() {
+			if s.engines[engine] == e {
+				s.step(engine, scatter.UpstreamChecked{Upstream: check.Target.Start(), Result: result, Round: check.Round})
+			}
+		})
+	}
 	for _, n := range out.Notes {
 		if s.noted != nil {
 			s.noted(s.hosts[engine].ID, n)
@@ -212,6 +220,15 @@
 			s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part", Notice: notice})
 		}
 	}
+	if s.isPartitioned(send.Via.ID) {
+		declined := scatter.AttemptEnded{Attempt: send.Attempt, Outcome: scatter.NotRelayed, RelayFault: true}
+		s.later.Add(s.now.Add(2*simNetwork), func() {
+			if s.engines[engine] == e {
+				s.step(engine, declined)
+			}
+		})
+		return
+	}
 	kind := s.cuts[sender]
 	link := simLink{sender, send.Target.ID}
 	if kind != noCut && !(kind == spares && s.open[link]) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -64,6 +64,7 @@
 	notes            *noteWriter
 	ready            atomic.Bool
 	stopping         atomic.Bool
+	partitioned      atomic.Bool   // this host reaches no upstreams
 	configVersion    atomic.Uint64 // version of the configuration in force
 	draining         chan struct{} // closed when other hosts have to stop using this one
 	closingStreams   chan struct{} // closed when the streams of other hosts have to end
@@ -230,8 +231,8 @@
 	if actions.Silent != nil {
 		h.registry.silentHosts.set(actions.Silent.Hosts)
 	}
-	for _, target := range actions.Checks {
-		h.check(target)
+	for _, check := range actions.Checks {
+		h.check(check)
 	}
 	if actions.Suspects != nil {
 		h.suspects.submit(actions.Suspects)
@@ -322,6 +323,7 @@
 		h.log.Info().Str("event", "ready").Str("role", c.Role().String()).Uint64("config_version", c.Version()).Msg("ready to serve requests")
 	}
 	h.frontend.withdrawn.Store(c.Withdrawn())
+	h.partitioned.Store(c.Partitioned())
 	current := h.registry.current.Load()
 	if ranked, active := c.Ranked(), c.Active(now); active != current.active || len(ranked) > 0 && !sameHosts(ranked, current.ranked) {
 		h.registry.current.Store(&plan{self: current.self, ranked: ranked, active: active})
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -117,7 +117,7 @@
 		"questions_suspected": stats.Accused, "questions_quarantined": stats.Quarantined, "quarantine_refused": stats.QuarantineRefused,
 		"limited_sends": stats.LimitedSends, "limited_relayed": stats.LimitedRelayed, "limited_extra": stats.LimitedExtra,
 		"attempts_failed_direct": stats.DirectFailures, "attempts_failed_relayed": stats.RelayedFailures,
-		"upstreams_limited": stats.Limited, "limit_refused": stats.LimitRefused,
+		"partitions": stats.Partitions, "upstreams_limited": stats.Limited, "limit_refused": stats.LimitRefused,
 	} {
 		set(name, int64(value))
 	}
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -22,6 +22,7 @@
 	panics        *panicHandler
 	stream        grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
 	configVersion *atomic.Uint64 // version of the configuration in force here
+	partitioned   *atomic.Bool   // this host reaches no upstreams
 	// targets holds the upstreams described on the stream, by reference. Only
 	// the receiving goroutine uses it.
 	targets map[uint32]scatter.Send
@@ -36,7 +37,7 @@
 // Relay implements edgepb.EdgeServer.
 func (s *peerService) Relay(stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]) error {
 	r := &relayStream{
-		sender: s.host.sender, panics: s.host.panics, stream: stream, configVersion: &s.host.configVersion,
+		sender: s.host.sender, panics: s.host.panics, stream: stream, configVersion: &s.host.configVersion, partitioned: &s.host.partitioned,
 		targets: map[uint32]scatter.Send{}, cancels: map[uint64]context.CancelFunc{},
 	}
 	ended := make(chan error, 1)
@@ -93,11 +94,11 @@
 }
 
 // start sends a request to its upstreams, unless another version of the
-// configuration is in force here or this host is stopping.
+// configuration is in force here, or this host is stopping or reaches no upstreams.
 func (r *relayStream) start(request *edgepb.RelayRequest) {
 	sends := r.decode(request)
 	ctx, cancel := context.WithCancel(r.stream.Context())
-	if request.ConfigVersion != r.configVersion.Load() || !r.admit(request.Id, cancel) {
+	if request.ConfigVersion != r.configVersion.Load() || r.partitioned.Load() || !r.admit(request.Id, cancel) {
 		cancel()
 		r.reply(&edgepb.RelayReply{Id: request.Id, Declined: true})
 		return
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -44,12 +44,12 @@
 
 // check checks an upstream in the background and reports the result to the
 // core.
-func (h *Host) check(target scatter.Upstream) {
+func (h *Host) check(check scatter.Check) {
 	go func() {
-		checked := scatter.UpstreamChecked{Upstream: target.Start()}
+		checked := scatter.UpstreamChecked{Upstream: check.Target.Start(), Round: check.Round}
 		defer func() { h.enqueue(checked) }()
 		defer h.panics.recoverPanic("check", "", nil)
-		checked.Result = h.sender.check(target)
+		checked.Result = h.sender.check(check.Target)
 	}()
 }
 
