A refused connection counts as a crash only if others can be opened

In a test, a host whose connections are reset while it gathers, and to which new ones are refused, holds ten upstreams to have crashed under the request. Cause: a lost answer followed by a refused connection was all the evidence for a crash. A host that loses its own links sees just that, at upstreams that work. Class: as before, evidence about the path of one host used as evidence about an upstream. Fix: the refusal counts once a later round of checks has opened a connection to another upstream. At a partitioned host it is dropped. Test: TestPartitionQuarantinesNoRequest; before: 10, 3 and 3 upstreams held to have crashed (gather, single, not repeatable), and the gather refused after each cut.

--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -9,7 +9,8 @@
 
 const (
 	// minFailingUpstreams is how many upstreams have to fail at the same time for
-	// this host to check its own connectivity.
+	// this host to check its own connectivity, and the least that have to fail the
+	// checks for it to be partitioned.
 	minFailingUpstreams = 3
 	// failureTTL is how long the failure of an upstream counts.
 	failureTTL = 3 * time.Second
@@ -57,8 +58,11 @@
 	rounds          uint64
 	roundAt         time.Time
 	succeededRounds int
-	scanning        bool // whether the timer of the scan is set
-	scheduled       bool // whether the timer of the next round is set
+	// refusals are the refused connections that are held to be crashes only after a
+	// later round has succeeded.
+	refusals  []refusal
+	scanning  bool // whether the timer of the scan is set
+	scheduled bool // whether the timer of the next round is set
 }
 
 // checkRound is a round of checks of several upstreams.
@@ -69,6 +73,13 @@
 	missing         int // checks that have not ended
 }
 
+// refusal is a connection that an upstream refused, and the number of rounds that
+// had begun by then.
+type refusal struct {
+	by    UpstreamStart
+	round uint64
+}
+
 // Partitioned reports whether this host cannot reach the upstreams.
 func (e *Engine) Partitioned() bool { return e.connectivity.partitioned }
 
@@ -127,10 +138,47 @@
 			delete(c.failing, u)
 		}
 	}
-	if len(c.failing) == 0 || len(c.failing) < min(minFailingUpstreams, len(e.directory.byID)) {
-		return
+	if len(c.failing) >= minFailingUpstreams {
+		e.startCheckRound(now)
+	}
+}
+
+// confirmRefusal checks other upstreams before a refused connection counts as the
+// crash of an upstream. With too few upstreams there is nothing to compare with.
+func (e *Engine) confirmRefusal(now time.Time, by UpstreamStart) {
+	c := &e.connectivity
+	switch {
+	case c.partitioned:
+		e.resolveCheck(now, by, CheckFailed)
+	case len(e.directory.byID) < minFailingUpstreams:
+		e.resolveCheck(now, by, UpstreamRefuses)
+	default:
+		c.refusals = append(c.refusals, refusal{by, c.rounds})
+		if c.round == nil {
+			e.startCheckRound(now)
+		}
+	}
+}
+
+// resolveRefusals counts the refused connections that a round has confirmed, or
+// drops all if this host is partitioned. The next round confirms the remaining ones.
+func (e *Engine) resolveRefusals(now time.Time, round *checkRound) {
+	c := &e.connectivity
+	pending := c.refusals
+	c.refusals = nil
+	for _, r := range pending {
+		switch {
+		case c.partitioned:
+			e.resolveCheck(now, r.by, CheckFailed)
+		case round.opened > 0 && r.round < round.id, round.checks < minFailingUpstreams:
+			e.resolveCheck(now, r.by, UpstreamRefuses)
+		default:
+			c.refusals = append(c.refusals, r)
+		}
+	}
+	if len(c.refusals) > 0 && c.round == nil {
+		e.startCheckRound(now)
 	}
-	e.startCheckRound(now)
 }
 
 // startCheckRound starts to open connections to several upstreams, preferably to
@@ -208,7 +256,7 @@
 	c.round = nil
 	switch {
 	case !complete:
-	case !c.partitioned && round.opened == 0 && round.checks > 0:
+	case !c.partitioned && round.opened == 0 && round.checks >= minFailingUpstreams:
 		e.enterPartition(now, round)
 	case c.partitioned && 2*round.opened > round.checks:
 		if c.succeededRounds++; c.succeededRounds >= recoveredAfterRounds {
@@ -220,6 +268,7 @@
 	if c.partitioned {
 		e.scheduleRecoveryRound(now)
 	}
+	e.resolveRefusals(now, round)
 }
 
 func (e *Engine) scheduleRecoveryRound(now time.Time) {
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -213,8 +213,8 @@
 	if r.engine.Partitioned() {
 		t.Error("partitioned, though upstreams answer")
 	}
-	if r.checks == 0 || r.checks > 40 {
-		t.Errorf("%d checks in 4 s", r.checks)
+	if n := r.connectivityChecks; n == 0 || n > 40 {
+		t.Errorf("%d checks in 4 s", n)
 	}
 
 	r = newRig(t)
@@ -290,3 +290,32 @@
 		t.Errorf("the host's own request was handed over as %+v", r.handovers)
 	}
 }
+
+// TestPartitionQuarantinesNoRequest: answers that a host loses because its own
+// connections are reset, and connections that are then refused to it, do not count
+// against the requests that ran.
+func TestPartitionQuarantinesNoRequest(t *testing.T) {
+	for _, path := range []string{gatherPath, fetchPath, orderPath} {
+		r := newRig(t)
+		r.configure(1, 10)
+		r.warmUp(gatherPath, 10*ms)
+		r.step(scatter.SuspectsSeen{})
+		for range 3 {
+			r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 5 * ms, scatter.Lost }
+			call := scatter.RequestArrived{Path: path, Budget: time.Second, Fingerprint: core.FingerprintOf([]byte(path))}
+			r.arrive(call)
+			r.cutOff(true)
+			r.run(3 * time.Second)
+			r.cutOff(false)
+			r.run(3 * time.Second)
+			last := r.arrive(call)
+			r.run(50 * ms)
+			if a := r.answers[last]; a.Kind == scatter.Refused {
+				t.Errorf("%s: refused after the partition", path)
+			}
+		}
+		if stats := r.engine.Stats(); stats.Accused > 0 || len(r.storedSuspects) > 0 {
+			t.Errorf("%s: %d upstreams held to have crashed under requests", path, stats.Accused)
+		}
+	}
+}
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -341,9 +341,19 @@
 	return report, true
 }
 
-// handleCheck handles the result of a check of an upstream.
+// handleCheck handles the result of a check of an upstream. A refused connection
+// counts only once this host has opened one to another upstream: if its own links
+// are down, connections to upstreams that work may be refused as well.
 func (e *Engine) handleCheck(now time.Time, c UpstreamChecked) {
-	e.reportFindings(now, e.quarantine.resolveCheck(now, c.Upstream, c.Result))
+	if c.Result == UpstreamRefuses && e.quarantine.losses[c.Upstream] != nil {
+		e.confirmRefusal(now, c.Upstream)
+		return
+	}
+	e.resolveCheck(now, c.Upstream, c.Result)
+}
+
+func (e *Engine) resolveCheck(now time.Time, at UpstreamStart, result CheckResult) {
+	e.reportFindings(now, e.quarantine.resolveCheck(now, at, result))
 }
 
 // handleSuspects handles the stored findings of all hosts.
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -44,8 +44,10 @@
 	answers        map[core.CallID]scatter.Answer
 	answered       map[core.CallID]time.Time
 	notes          []scatter.Note
-	checks         int
+	checks         int                 // of upstreams that may have crashed
 	storedSuspects [][]scatter.Suspect // reports stored for all hosts
+
+	connectivityChecks int
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -106,7 +108,11 @@
 	}
 	for _, check := range out.Checks {
 		u := check.Target
-		r.checks++
+		if check.Round == 0 {
+			r.checks++
+		} else {
+			r.connectivityChecks++
+		}
 		result := scatter.UpstreamListens
 		if r.refuses != nil && r.refuses(u.ID) {
 			result = scatter.UpstreamRefuses
