Move requests in flight from a host that lost the upstreams

Cause: what a host had sent before it found out was left to wait for its deadline, and the same where another host had handed the request over. Fix: a call that cannot get enough parts over relays or connections that may work is handed over as a repeat, once, if its route and the upstreams already used allow one more run. For another host's request that host is told, and repeats it elsewhere. What may not run again is left to its attempt. Ruled out: a shorter wait before connections are checked. Upstreams that pause for 150 to 250 ms would have several checked at nearly every moment. Test: TestRequestsInFlightAreMovedFromAPartitionedHost; before, none is answered before its deadline.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -147,9 +147,12 @@
 	TimedOut
 	// Declined: another host should answer the request; this one has not run it.
 	Declined
+	// Interrupted: this host cannot answer the request of another host any more. It
+	// may have run, and its route allows another run.
+	Interrupted
 )
 
-var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out", "declined"}
+var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out", "declined", "interrupted"}
 
 // String returns the kind as the log prints it.
 func (k AnswerKind) String() string { return answerNames[k] }
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -418,6 +418,7 @@
 	case c.failure != nil && !c.route.IsGather():
 		e.stats.Answered++
 		e.finish(now, c, Answer{Call: c.id, Kind: PassedOn, Payload: c.failure}, "the upstream's failure")
+	case e.connectivity.partitioned && e.moveCall(now, c):
 	case c.mayHaveRun():
 		e.stats.Failed++
 		e.finish(now, c, Answer{Call: c.id, Kind: UpstreamsFailed}, "no upstream is left to ask")
@@ -451,12 +452,12 @@
 // the log entry.
 func (e *Engine) finish(now time.Time, c *call, answer Answer, why string) {
 	e.removeCall(now, c)
-	if answer.Kind != Declined && (answer.Kind != PassedOn || c.failure == nil) {
+	if answer.Kind != Declined && answer.Kind != Interrupted && (answer.Kind != PassedOn || c.failure == nil) {
 		e.recordResult(now, answer.Kind == PassedOn || answer.Kind == Gathered)
 	}
 	e.out.Answers = append(e.out.Answers, answer)
 	decision := DecisionAnswer
-	if answer.Kind == Refused || answer.Kind == Declined {
+	if answer.Kind == Refused || answer.Kind == Declined || answer.Kind == Interrupted {
 		decision = DecisionRefuse
 	}
 	detail := answer.Kind.String()
@@ -498,6 +499,11 @@
 	if !c.route.Repeatable {
 		return
 	}
+	e.cancelAttempts(c)
+}
+
+// cancelAttempts cancels the running attempts of a call.
+func (e *Engine) cancelAttempts(c *call) {
 	for _, p := range c.parts {
 		for _, a := range p.attempts {
 			if _, running := e.attempts[a.id]; running {
--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/samphirebeam/samphirebeam/core"
 )
 
 const (
@@ -293,6 +295,74 @@
 		Detail: fmt.Sprintf("no connection to an upstream can be opened, %d of %d refused", round.refused, round.checks),
 	})
 	c.partitioned, c.since, c.succeededRounds = true, now, 0
+	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
+		if call := e.calls[id]; e.expectedParts(now, call) < call.minParts() {
+			e.moveCall(now, call)
+		}
+	}
+}
+
+// expectedParts counts the parts of a call that have been answered or can still be:
+// their attempts are relayed, or sent over a connection that may work.
+func (e *Engine) expectedParts(now time.Time, c *call) (count int) {
+	silent := now.Sub(e.connectivity.answeredAt) > unansweredAfter
+	for _, p := range c.parts {
+		running := func(a *attempt) bool {
+			return e.attempts[a.id] != nil && (a.via != nil || !silent && now.Sub(a.sentAt) < unansweredAfter)
+		}
+		if p.answered || slices.ContainsFunc(p.attempts, running) {
+			count++
+		}
+	}
+	return count
+}
+
+// moveCall has another host answer a call that this host cannot answer any more. It
+// returns false if there is none, or if the call must not run once more.
+func (e *Engine) moveCall(now time.Time, c *call) bool {
+	const why = "this host does not reach the upstreams"
+	ran := c.mayHaveRun()
+	if c.request.returned || ran && !e.mayRunOnceMore(c) {
+		return false
+	}
+	if c.request.FromHost {
+		kind := Declined
+		if ran {
+			kind = Interrupted
+		}
+		e.cancelAttempts(c)
+		c.queued = false // its end says nothing about queues
+		e.finish(now, c, Answer{Call: c.id, Kind: kind}, why)
+		return true
+	}
+	h := &handover{request: c.request, tried: map[core.HostID]bool{}, deadline: c.deadline, repeated: ran}
+	p := e.pickPeer(now, h)
+	if p == nil {
+		return false
+	}
+	e.cancelAttempts(c)
+	c.queued = false
+	e.removeCall(now, c)
+	e.startHandover(h)
+	e.note(Note{
+		Decision: DecisionRetry, RequestID: c.request.RequestID, Route: c.route.Name, Upstream: core.UpstreamID(p.ID), Version: c.config.Version,
+		Age: now.Sub(c.request.At), Detail: "at another host: " + why,
+	})
+	e.handOverTo(now, h, p, ran)
+	return true
+}
+
+// mayRunOnceMore reports whether another host may send the parts of a call once
+// more, each to its designated upstream.
+func (e *Engine) mayRunOnceMore(c *call) bool {
+	if !c.route.Repeatable || c.route.MaxUpstreams < 2 {
+		return false
+	}
+	return !slices.ContainsFunc(c.parts, func(p *part) bool {
+		used := p.possiblyRanAt()
+		return len(used) >= c.route.MaxUpstreams && len(e.directory.byService[p.service]) > c.route.MaxUpstreams &&
+			!slices.Contains(used, e.designated(p))
+	})
 }
 
 // leavePartition discards what this host has concluded about upstreams while it
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -34,6 +34,8 @@
 	// Repeat is true if another host may have run the request. It is declined
 	// unless its route is repeatable, and all its sends count as extra ones.
 	Repeat bool
+	// returned is true if no other host has accepted the request.
+	returned bool
 }
 
 // CallerGone reports that the caller closed its connection.
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -109,22 +109,26 @@
 	return e.fleet.role != Gatherer || !e.Ready() || e.connectivity.partitioned
 }
 
-// handOver hands a request over to the host with the lowest cost, and ends the
-// handover at the request's deadline.
+// handOver hands a request over to the host with the lowest cost.
 func (e *Engine) handOver(now time.Time, a RequestArrived) {
 	budget := a.Budget
 	if budget <= 0 {
 		budget = defaultHandoverBudget
 	}
 	h := &handover{request: a, tried: map[core.HostID]bool{}, deadline: a.At.Add(e.answerBudget(budget))}
-	e.handovers[a.Call] = h
+	e.startHandover(h)
+	e.tryNextHost(now, h)
+}
+
+// startHandover registers a handover, which ends at its deadline.
+func (e *Engine) startHandover(h *handover) {
+	e.handovers[h.request.Call] = h
 	e.timers.Add(h.deadline, func(now time.Time) {
-		if e.handovers[a.Call] == h {
+		if e.handovers[h.request.Call] == h {
 			e.backOffSilentHosts(now, h)
 			e.endHandover(now, h, Answer{Kind: TimedOut}, false)
 		}
 	})
-	e.tryNextHost(now, h)
 }
 
 // tryNextHost hands a request to the best host that was not tried yet. If there is
@@ -223,7 +227,7 @@
 	delete(e.handovers, h.request.Call)
 	e.aloneUntil = now.Add(localAnswerPeriod)
 	a := h.request
-	a.FromHost, a.AllowStale = true, true
+	a.FromHost, a.AllowStale, a.returned = true, true, true
 	e.answerRequest(now, a)
 }
 
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -319,3 +319,40 @@
 		}
 	}
 }
+
+// TestRequestsInFlightAreMovedFromAPartitionedHost: requests that were sent when a
+// host lost its links to the upstreams are answered by another host, unless they
+// may have run and must not run again.
+func TestRequestsInFlightAreMovedFromAPartitionedHost(t *testing.T) {
+	for _, fromHost := range []bool{false, true} {
+		for _, path := range []string{gatherPath, fetchPath, orderPath} {
+			r := newRig(t)
+			r.configure(1, 10)
+			r.warmUp(gatherPath, 10*ms)
+			r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return 5 * ms, scatter.Succeeded }
+			r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Cores: 1}, {ID: "host-2", Domain: "d2", Cores: 1}}})
+			r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) { return s.Deadline.Sub(r.now), scatter.Lost }
+			r.refuses = func(core.UpstreamID) bool { return true }
+			call := r.arrive(scatter.RequestArrived{Path: path, Budget: 5 * time.Second, FromHost: fromHost})
+			for range 5 {
+				r.ask(gatherPath)
+			}
+			r.run(600 * ms)
+			answer, found := r.answers[call]
+			switch {
+			case path == orderPath && found:
+				t.Errorf("%s: %v before its deadline, though it may be running", path, answer.Kind)
+			case path == orderPath:
+			case !found:
+				t.Errorf("%s, from another host %v: not answered", path, fromHost)
+			case fromHost && answer.Kind != scatter.Interrupted, !fromHost && answer.Kind != scatter.PassedOn:
+				t.Errorf("%s, from another host %v: %v", path, fromHost, answer.Kind)
+			}
+			for _, h := range r.handovers {
+				if h.Call == call && (path == orderPath || fromHost || !h.Repeat) {
+					t.Errorf("%s, from another host %v: handed over as %+v", path, fromHost, h)
+				}
+			}
+		}
+	}
+}
--- a/edge/service.go
+++ b/edge/service.go
@@ -167,6 +167,8 @@
 		return nil, status.FromContextError(ctx.Err()).Err()
 	case answer.Kind == scatter.Declined:
 		return declined, nil
+	case answer.Kind == scatter.Interrupted:
+		return nil, status.Error(codes.Aborted, "this host cannot answer the request any more")
 	}
 	reply := platform.Render(request, answer)
 	return &edgepb.RunReply{
