Use the connections that are open while new ones are refused

Cause: a partitioned host relayed nothing, and the connections to a domain's upstreams belong to its relays. A moved request ended at the first host that declined it for the same reason, and declining hosts were asked again by each request. Fix: where all checks were refused at once, a partitioned host still relays over connections that are open, and answers itself what no other host accepts. A decline says whether it is for lack of upstreams: then a moved request goes on to the next host, and the declining one is left alone for half a second.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -126,6 +126,9 @@
 	// RetryAfter is how long the caller should wait before it repeats a refused
 	// request.
 	RetryAfter time.Duration
+	// Partitioned is true if the request is declined since this host reaches no
+	// upstreams.
+	Partitioned bool
 }
 
 // AnswerKind is the kind of an answer.
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -22,7 +22,7 @@
 func (e *Engine) handleRequest(now time.Time, a RequestArrived) {
 	e.stats.Requests++
 	if a.FromHost && (e.connectivity.partitioned || !a.AllowStale && (!e.Ready() || e.directory.stale(now))) {
-		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
+		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined, Partitioned: e.connectivity.partitioned})
 		return
 	}
 	if e.shouldHandOver(a) {
--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -36,7 +36,7 @@
 	recoveredAfterRounds = 2
 	// trialRequestInterval is the time between two requests that a partitioned host
 	// tries to answer itself if no other host accepts them, unless an upstream has
-	// answered within openConnectionTTL: connections that are open may still work.
+	// answered over an open connection within openConnectionTTL.
 	trialRequestInterval = 200 * time.Millisecond
 	openConnectionTTL    = time.Second
 )
@@ -49,9 +49,12 @@
 // partitioned if none can be opened.
 type connectivity struct {
 	partitioned bool
-	since       time.Time // of the last change of partitioned
-	answeredAt  time.Time // of the last answer to a direct attempt
-	trialAt     time.Time // of the last trial request
+	// refused is true while this host is partitioned and all connections are refused
+	// at once. Those that are open may then still work.
+	refused    bool
+	since      time.Time // of the last change of partitioned
+	answeredAt time.Time // of the last answer to a direct attempt
+	trialAt    time.Time // of the last trial request
 	// failing holds when a direct attempt at an upstream last failed.
 	failing map[*upstream]time.Time
 	// round is the round of checks in progress; nil if there is none. roundAt is
@@ -85,6 +88,10 @@
 // Partitioned reports whether this host cannot reach the upstreams.
 func (e *Engine) Partitioned() bool { return e.connectivity.partitioned }
 
+// OpenConnectionsMayWork reports whether a partitioned host may send over
+// connections that are still open. New ones are refused to it.
+func (e *Engine) OpenConnectionsMayWork() bool { return e.connectivity.refused }
+
 // observeConnectivity takes the end of a direct attempt into account.
 func (e *Engine) observeConnectivity(now time.Time, a *attempt, outcome Outcome) {
 	if a.via != nil {
@@ -268,6 +275,7 @@
 		c.succeededRounds = 0
 	}
 	if c.partitioned {
+		c.refused = round.refused == round.checks
 		e.scheduleRecoveryRound(now)
 	}
 	e.resolveRefusals(now, round)
@@ -332,7 +340,7 @@
 		}
 		e.cancelAttempts(c)
 		c.queued = false // its end says nothing about queues
-		e.finish(now, c, Answer{Call: c.id, Kind: kind}, why)
+		e.finish(now, c, Answer{Call: c.id, Kind: kind, Partitioned: true}, why)
 		return true
 	}
 	h := &handover{request: c.request, tried: map[core.HostID]bool{}, deadline: c.deadline, repeated: ran}
@@ -370,7 +378,7 @@
 func (e *Engine) leavePartition(now time.Time) {
 	c := &e.connectivity
 	e.note(Note{Decision: DecisionReconnected, Age: now.Sub(c.since)})
-	c.partitioned, c.since = false, now
+	c.partitioned, c.refused, c.since = false, false, now
 	clear(c.failing)
 	for _, u := range e.directory.byID {
 		u.forgetEstimates()
@@ -389,7 +397,7 @@
 func (e *Engine) mayTryUpstreams(now time.Time, r *Route) bool {
 	c := &e.connectivity
 	switch {
-	case !c.partitioned || now.Sub(c.answeredAt) < openConnectionTTL:
+	case !c.partitioned || c.refused && now.Sub(c.answeredAt) < openConnectionTTL:
 		return true
 	case !r.Repeatable || now.Sub(c.trialAt) < trialRequestInterval:
 		return false
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -99,6 +99,8 @@
 	// NotExecuted if the host declined, Unreached or Lost.
 	Outcome Outcome
 	Payload any
+	// Partitioned is true if the host declined since it reaches no upstreams.
+	Partitioned bool
 	// Took is how long the host worked on the request, without the network time.
 	Took  time.Duration
 	Cause string
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -48,6 +48,9 @@
 	// request.
 	declines      int
 	declinedUntil time.Time
+	// partitionedUntil is until when the host is not used since it has declined a
+	// request because it reaches no upstreams.
+	partitionedUntil time.Time
 	// overhead estimates the time that a handover adds to the host's own work: the
 	// network and the processing at this host.
 	overhead time.Duration
@@ -253,7 +256,7 @@
 	for rank, host := range e.fleet.handoverTargets() {
 		p := e.fleet.peers[host.ID]
 		otherRegion := p != nil && e.options.Regions[p.Domain] != e.options.Regions[e.fleet.domain]
-		if p == nil || otherRegion && h.request.HasBody || h.tried[p.ID] || now.Before(p.backoffUntil) || !h.stale && now.Before(p.declinedUntil) {
+		if p == nil || otherRegion && h.request.HasBody || h.tried[p.ID] || now.Before(p.backoffUntil) || now.Before(p.partitionedUntil) || !h.stale && now.Before(p.declinedUntil) {
 			continue
 		}
 		cost := float64(p.running)/max(p.Cores, 0.01) + e.options.Random()
@@ -321,6 +324,9 @@
 		return
 	case r.Outcome != NotExecuted:
 		e.backOffHost(now, p, r)
+	case r.Partitioned:
+		p.partitionedUntil = now.Add(recoveryInterval)
+		e.note(Note{Decision: DecisionHostBackoff, Upstream: core.UpstreamID(p.ID), Age: recoveryInterval, Detail: "reaches no upstreams"})
 	case !attempt.repeat:
 		p.declinedUntil = now.Add(min(maxHostBackoff, minHostBackoff<<min(p.declines, 8)))
 		p.declines++
@@ -329,14 +335,14 @@
 	switch {
 	case !attempt.repeat && r.Outcome.SurelyNotRun():
 		e.tryNextHost(now, h)
-	case attempt.repeat && r.Outcome == Unreached && e.replaceRepeat(now, h), e.repeatHandover(now, h), len(h.attempts) > 0:
+	case attempt.repeat && (r.Outcome == Unreached || r.Partitioned) && e.replaceRepeat(now, h), e.repeatHandover(now, h), len(h.attempts) > 0:
 	default:
 		e.endHandover(now, h, Answer{Kind: UpstreamsFailed}, false)
 	}
 }
 
 // replaceRepeat repeats a request at one more host, in place of a host that was
-// not reached.
+// not reached or reaches no upstreams itself.
 func (e *Engine) replaceRepeat(now time.Time, h *handover) bool {
 	h.repeated = false
 	return e.repeatHandover(now, h)
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,9 +26,9 @@
 const (
 	simDialTimeout  = 500 * ms
 	simCheckTimeout = 300 * ms
-	// closeShare is the share of answers after which an upstream closes the
+	// simCloseShare is the share of answers after which an upstream closes the
 	// connection.
-	closeShare = 0.05
+	simCloseShare = 0.05
 )
 
 // firstTries counts callers' first tries, and those that were served.
@@ -81,14 +82,17 @@
 	}
 }
 
-// isPartitioned reports whether a host has found out that it is cut off.
-func (s *tier) isPartitioned(id core.HostID) bool {
-	for i, h := range s.hosts {
-		if h.ID == id {
-			return s.engines[i] != nil && s.engines[i].Partitioned()
-		}
+// engineOf returns the engine of a host, nil if it is down or unknown.
+func (s *tier) engineOf(id core.HostID) *scatter.Engine {
+	if i := slices.IndexFunc(s.hosts, func(h scatter.Host) bool { return h.ID == id }); i >= 0 {
+		return s.engines[i]
 	}
-	return false
+	return nil
+}
+
+// domainOf returns the failure domain of a host.
+func (s *tier) domainOf(id core.HostID) core.DomainID {
+	return s.hosts[slices.IndexFunc(s.hosts, func(h scatter.Host) bool { return h.ID == id })].Domain
 }
 
 // countFirstTries counts first tries by whether their host was cut off, from the
@@ -356,3 +360,24 @@
 		}
 	}
 }
+
+// TestOpenConnectionsServeWhenAllHostsArePartitioned: while new connections are
+// refused to all hosts, requests are served over those that are open, which belong
+// to the hosts that relay for each other.
+func TestOpenConnectionsServeWhenAllHostsArePartitioned(t *testing.T) {
+	s := newTier(8, 10, simSweep, simQuick)
+	s.enableRelay()
+	s.closeShare = 0
+	s.offer(60, 6*time.Second, simMix...)
+	for link := range s.open { // only relays have connections
+		if s.domainOf(link.host) != s.upstreams[link.to].domain {
+			delete(s.open, link)
+		}
+	}
+	s.partition(spares, 0, 0, 1, 2, 3, 4, 5, 6, 7)
+	s.countFirstTries()
+	s.offer(60, 4*time.Second, simMix...)
+	if tries := s.cutTries; tries.served*10 < tries.asked*9 {
+		t.Errorf("%d of %d first tries served", tries.served, tries.asked)
+	}
+}
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -32,6 +32,7 @@
 	// cutAt is when each host was last cut off, open are the connections.
 	cutAt                map[core.HostID]time.Time
 	open                 map[simLink]bool
+	closeShare           float64
 	counting             bool // whether first tries are counted
 	noted                func(core.HostID, scatter.Note)
 	cutTries, otherTries firstTries
@@ -46,6 +47,7 @@
 // simUpstream is one simulated upstream.
 type simUpstream struct {
 	free     []time.Time // when each slot becomes free
+	domain   core.DomainID
 	slowness float64
 	waiting  int
 	pauses   time.Duration // phase of its pauses
@@ -111,7 +113,7 @@
 	s := &tier{
 		now: epoch, random: rand.New(rand.NewPCG(1, 2)), upstreams: map[core.UpstreamID]*simUpstream{},
 		callsByID: map[core.CallID]*simCall{}, routes: map[string]simRoute{},
-		cuts: map[core.HostID]cutKind{}, cutAt: map[core.HostID]time.Time{}, open: map[simLink]bool{},
+		cuts: map[core.HostID]cutKind{}, cutAt: map[core.HostID]time.Time{}, open: map[simLink]bool{}, closeShare: simCloseShare,
 	}
 	for i := range hosts {
 		s.hosts = append(s.hosts, scatter.Host{ID: core.HostID(fmt.Sprint("host-", i)), Domain: core.DomainID(fmt.Sprint("d", i%3)), Cores: 1})
@@ -129,7 +131,8 @@
 			}
 			upstreams = append(upstreams, u)
 			s.upstreams[u.ID] = &simUpstream{
-				free: make([]time.Time, u.Slots), informedAt: map[core.HostID]time.Time{}, slowness: 0.8 + 0.5*s.random.Float64(), pauses: time.Duration(s.random.Int64N(int64(simPauseEvery))),
+				domain: u.Domain,
+				free:   make([]time.Time, u.Slots), informedAt: map[core.HostID]time.Time{}, slowness: 0.8 + 0.5*s.random.Float64(), pauses: time.Duration(s.random.Int64N(int64(simPauseEvery))),
 			}
 		}
 	}
@@ -220,8 +223,8 @@
 			s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part", Notice: notice})
 		}
 	}
-	if s.isPartitioned(send.Via.ID) {
-		declined := scatter.AttemptEnded{Attempt: send.Attempt, Outcome: scatter.NotRelayed, RelayFault: true}
+	if relay := s.engineOf(send.Via.ID); relay != nil && relay.Partitioned() && !(relay.OpenConnectionsMayWork() && s.open[simLink{sender, send.Target.ID}]) {
+		declined := scatter.AttemptEnded{Attempt: send.Attempt, Outcome: scatter.NotRelayed, RelayFault: !relay.OpenConnectionsMayWork()}
 		s.later.Add(s.now.Add(2*simNetwork), func() {
 			if s.engines[engine] == e {
 				s.step(engine, declined)
@@ -248,7 +251,7 @@
 			s.later.Add(s.now.Add(after), func() { end(outcome, scatter.Notice{}) })
 			return
 		}
-		if s.random.Float64() < closeShare {
+		if s.random.Float64() < s.closeShare {
 			delete(s.open, link)
 		}
 		end(outcome, s.notice(send.Target.ID, sender))
@@ -286,7 +289,7 @@
 func (s *tier) handOver(from int, h scatter.Handover) {
 	to := slices.IndexFunc(s.hosts, func(other scatter.Host) bool { return other.ID == h.To.ID })
 	if to < 0 || s.engines[to] == nil {
-		s.endHandover(simHandover{from, h.Call}, h.To.ID, scatter.Unreached)
+		s.endHandover(simHandover{from, h.Call}, scatter.HandoverEnded{To: h.To.ID, Outcome: scatter.Unreached})
 		return
 	}
 	s.calls++
@@ -299,11 +302,12 @@
 }
 
 // endHandover reports the end of a handover to the host that began it.
-func (s *tier) endHandover(at simHandover, by core.HostID, outcome scatter.Outcome) {
+func (s *tier) endHandover(at simHandover, ended scatter.HandoverEnded) {
 	e := s.engines[at.engine]
 	s.later.Add(s.now.Add(simNetwork), func() {
 		if e != nil && s.engines[at.engine] == e {
-			s.step(at.engine, scatter.HandoverEnded{Call: at.call, To: by, Outcome: outcome})
+			ended.Call = at.call
+			s.step(at.engine, ended)
 		}
 	})
 }
@@ -387,8 +391,10 @@
 			outcome = scatter.Succeeded
 		case a.Kind == scatter.Declined:
 			outcome = scatter.NotExecuted
+		case a.Kind == scatter.Interrupted:
+			outcome = scatter.Lost
 		}
-		s.endHandover(*call.handover, s.hosts[call.engine].ID, outcome)
+		s.endHandover(*call.handover, scatter.HandoverEnded{To: s.hosts[call.engine].ID, Outcome: outcome, Partitioned: a.Partitioned})
 		return
 	}
 	if served && call.tries != nil {
--- a/edge/conn_pool.go
+++ b/edge/conn_pool.go
@@ -100,6 +100,13 @@
 	return c
 }
 
+// hasIdle reports whether there is an idle connection for a send.
+func (p *connPool) hasIdle(send scatter.Send) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[poolKeyOf(send.Target)]) > 0
+}
+
 // acquire counts a connection as in use.
 func (p *connPool) acquire(send scatter.Send) {
 	p.mu.Lock()
--- a/edge/host.go
+++ b/edge/host.go
@@ -64,7 +64,7 @@
 	notes            *noteWriter
 	ready            atomic.Bool
 	stopping         atomic.Bool
-	partitioned      atomic.Bool   // this host reaches no upstreams
+	upstreamLinks    upstreamLinks // published by the core
 	configVersion    atomic.Uint64 // version of the configuration in force
 	draining         chan struct{} // closed when other hosts have to stop using this one
 	closingStreams   chan struct{} // closed when the streams of other hosts have to end
@@ -323,7 +323,8 @@
 		h.log.Info().Str("event", "ready").Str("role", c.Role().String()).Uint64("config_version", c.Version()).Msg("ready to serve requests")
 	}
 	h.frontend.withdrawn.Store(c.Withdrawn())
-	h.partitioned.Store(c.Partitioned())
+	h.upstreamLinks.down.Store(c.Partitioned())
+	h.upstreamLinks.openOnly.Store(c.OpenConnectionsMayWork())
 	current := h.registry.current.Load()
 	if ranked, active := c.Ranked(), c.Active(now); active != current.active || len(ranked) > 0 && !sameHosts(ranked, current.ranked) {
 		h.registry.current.Store(&plan{self: current.self, ranked: ranked, active: active})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -131,7 +131,7 @@
 	reply, err := client.Run(context.WithValue(ctx, sentKey{}, &sent), encodeRun(h, request))
 	switch {
 	case err == nil && reply.Declined:
-		ended.Outcome, ended.Cause = scatter.NotExecuted, "declined"
+		ended.Outcome, ended.Cause, ended.Partitioned = scatter.NotExecuted, "declined", reply.Partitioned
 	case err == nil && (reply.Status < 200 || reply.Status > 599):
 		ended.Outcome, ended.Cause = scatter.Lost, fmt.Sprintf("status %d", reply.Status)
 	case err == nil:
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -22,7 +22,7 @@
 	panics        *panicHandler
 	stream        grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]
 	configVersion *atomic.Uint64 // version of the configuration in force here
-	partitioned   *atomic.Bool   // this host reaches no upstreams
+	upstreamLinks *upstreamLinks
 	// targets holds the upstreams described on the stream, by reference. Only
 	// the receiving goroutine uses it.
 	targets map[uint32]scatter.Send
@@ -34,10 +34,19 @@
 	sendMu   sync.Mutex // stream.Send must not be called concurrently
 }
 
+// upstreamLinks is the state of this host's links to the upstreams.
+type upstreamLinks struct {
+	down     atomic.Bool // no new connection can be opened
+	openOnly atomic.Bool // those that are open may still work
+}
+
+// unusable reports whether no upstream can be reached at all.
+func (l *upstreamLinks) unusable() bool { return l.down.Load() && !l.openOnly.Load() }
+
 // Relay implements edgepb.EdgeServer.
 func (s *peerService) Relay(stream grpc.BidiStreamingServer[edgepb.RelayRequest, edgepb.RelayReply]) error {
 	r := &relayStream{
-		sender: s.host.sender, panics: s.host.panics, stream: stream, configVersion: &s.host.configVersion, partitioned: &s.host.partitioned,
+		sender: s.host.sender, panics: s.host.panics, stream: stream, configVersion: &s.host.configVersion, upstreamLinks: &s.host.upstreamLinks,
 		targets: map[uint32]scatter.Send{}, cancels: map[uint64]context.CancelFunc{},
 	}
 	ended := make(chan error, 1)
@@ -98,7 +107,7 @@
 func (r *relayStream) start(request *edgepb.RelayRequest) {
 	sends := r.decode(request)
 	ctx, cancel := context.WithCancel(r.stream.Context())
-	if request.ConfigVersion != r.configVersion.Load() || r.partitioned.Load() || !r.admit(request.Id, cancel) {
+	if request.ConfigVersion != r.configVersion.Load() || r.upstreamLinks.unusable() || !r.admit(request.Id, cancel) {
 		cancel()
 		r.reply(&edgepb.RelayReply{Id: request.Id, Declined: true})
 		return
@@ -115,7 +124,7 @@
 				part := &edgepb.RelayedPart{Index: int32(i), Outcome: int32(scatter.Lost), Cause: errUnexpected.Error()}
 				r.reply(&edgepb.RelayReply{Id: request.Id, Part: part})
 			})
-			replied := r.sender.relay(ctx, send, message.Forward)
+			replied := r.sender.relay(ctx, send, message.Forward, r.upstreamLinks.openOnly.Load())
 			took := time.Since(started)
 			order.Lock()
 			defer order.Unlock()
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -72,8 +72,12 @@
 
 // relay makes an attempt on behalf of another host, until ctx ends. It uses no
 // more connections to the upstream than the send allows, and sends nothing if the
-// upstream has stated a rate limit here of which the other host does not know yet.
-func (s *sender) relay(ctx context.Context, send scatter.Send, forward *platform.Forward) scatter.AttemptEnded {
+// upstream has stated a rate limit here of which the other host does not know yet,
+// or if openOnly is set and there is no open connection to the upstream.
+func (s *sender) relay(ctx context.Context, send scatter.Send, forward *platform.Forward, openOnly bool) scatter.AttemptEnded {
+	if openOnly && !s.pool.hasIdle(send) {
+		return scatter.AttemptEnded{Outcome: scatter.NotRelayed, Cause: "no connection is open, and none can be opened"}
+	}
 	if limit := s.notices.limitSince(send.Target, send.LimitKnownAt); limit.Stated {
 		return scatter.AttemptEnded{Outcome: scatter.NotRelayed, Notice: scatter.Notice{Limit: limit}, Cause: "the upstream states a rate limit"}
 	}
--- a/edge/service.go
+++ b/edge/service.go
@@ -166,6 +166,7 @@
 	case callerGone:
 		return nil, status.FromContextError(ctx.Err()).Err()
 	case answer.Kind == scatter.Declined:
+		declined.Partitioned = answer.Partitioned
 		return declined, nil
 	case answer.Kind == scatter.Interrupted:
 		return nil, status.Error(codes.Aborted, "this host cannot answer the request any more")
