Let other hosts gather in place of those that reach no upstream

Seen: in a test all gatherers and standbys of 30 or 195 hosts are cut off, and no caller of a cut entry host is served (0 of 183 and of 32 first tries). Cause: the gatherers are the first of the registered hosts, whether they can gather or not; shares of connections, of cold upstreams' rates and of stated limits stay with cut hosts. Fix: the record of a host says whether it reaches the upstreams, and those that do not rank last. A host that becomes a gatherer checks its links at once. The order of the hosts that read the store does not depend on it. What is divided among hosts does not add up to more meanwhile: a host sends nothing to cold upstreams from before its record says so until 2 s after it says otherwise, and one in the place of another spends a tenth of its allowance for extra sends until the other's sends have left the window. Cost: two writes to the store for each gatherer and change.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -241,10 +241,13 @@
 // allowanceShare returns this host's share of the allowance for extra sends.
 // Until a window has passed since the start, a smaller share covers both what an
 // earlier process of this host may have spent and what other hosts spend before
-// they have discovered this one.
+// they have discovered this one. The same holds for a host that takes the place of
+// another one.
 func (e *Engine) allowanceShare(now time.Time) float64 {
 	share := e.fleet.allowanceShare()
-	if !e.options.FirstStart && now.Sub(e.startedAt) < e.options.Extra.Window {
+	restarted := !e.options.FirstStart && now.Sub(e.startedAt) < e.options.Extra.Window
+	promoted := !e.targetSince.IsZero() && now.Sub(e.targetSince) < e.options.Extra.Window
+	if restarted || promoted {
 		return restartAllowanceFraction * share
 	}
 	return (1 - restartAllowanceFraction) * share
--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -65,7 +65,11 @@
 	succeededRounds int
 	// refusals are the refused connections that are held to be crashes only after a
 	// later round has succeeded.
-	refusals  []refusal
+	refusals []refusal
+	// checkWhenListed is set if a round is to be started as soon as the upstreams
+	// are known.
+	checkWhenListed bool
+
 	scanning  bool // whether the timer of the scan is set
 	scheduled bool // whether the timer of the next round is set
 }
@@ -152,6 +156,15 @@
 	}
 }
 
+// checkConnectivityOnce starts a round of checks although no upstream has failed.
+func (e *Engine) checkConnectivityOnce(now time.Time) {
+	c := &e.connectivity
+	c.checkWhenListed = !e.directory.listed
+	if e.directory.listed && c.round == nil {
+		e.startCheckRound(now)
+	}
+}
+
 // confirmRefusal checks other upstreams before a refused connection counts as the
 // crash of an upstream. With too few upstreams there is nothing to compare with.
 func (e *Engine) confirmRefusal(now time.Time, by UpstreamStart) {
@@ -303,6 +316,7 @@
 		Detail: fmt.Sprintf("no connection to an upstream can be opened, %d of %d refused", round.refused, round.checks),
 	})
 	c.partitioned, c.since, c.succeededRounds = true, now, 0
+	e.directory.replaced = true
 	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
 		if call := e.calls[id]; e.expectedParts(now, call) < call.minParts() {
 			e.moveCall(now, call)
@@ -379,6 +393,7 @@
 	c := &e.connectivity
 	e.note(Note{Decision: DecisionReconnected, Age: now.Sub(c.since)})
 	c.partitioned, c.refused, c.since = false, false, now
+	e.directory.replaced = e.fleet.registeredAsPartitioned()
 	clear(c.failing)
 	for _, u := range e.directory.byID {
 		u.forgetEstimates()
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -112,8 +112,17 @@
 	pendingGrace   []*upstream
 	notices        *Notices
 	restored       restoredEntries
+	// replaced is true while other hosts may have taken over this host's share of the
+	// rate of cold upstreams, since it does not reach upstreams or is registered so.
+	// It sends nothing to cold upstreams then and until coldHoldUntil.
+	replaced      bool
+	coldHoldUntil time.Time
 }
 
+// rankSettleTime is how long after a change of its record a host may assume that
+// the others do not know of it.
+const rankSettleTime = 2 * time.Second
+
 func newDirectory(self core.HostID, domain core.DomainID, assumedHosts int) *directory {
 	return &directory{
 		hostCount: assumedHosts,
@@ -453,6 +462,9 @@
 	if s.ColdRate <= 0 || !now.Before(u.coldUntil) {
 		return true
 	}
+	if d.replaced || now.Before(d.coldHoldUntil) {
+		return false
+	}
 	senders := max(1, min(len(d.hosts), int(coldSenders+coldSenderShare*s.ColdRate)))
 	if d.rank(u) >= senders {
 		return false
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -56,6 +56,9 @@
 	domains            domainMonitor
 	domainWatchStarted bool
 	connectivity       connectivity
+	// targetSince is when this host stopped being an entry host; the zero time if it
+	// has never been one.
+	targetSince time.Time
 	// unservedShare is a moving average of the share of requests that were not
 	// served; withdrawn is true while this host accepts no callers.
 	unservedShare float64
@@ -253,6 +256,9 @@
 		e.setConfig(event.Config)
 	case UpstreamsListed:
 		e.directory.list(now, event.Upstreams, event.Restored, e.noteUpstream)
+		if e.connectivity.checkWhenListed {
+			e.checkConnectivityOnce(now)
+		}
 		e.startGraceTimer(now)
 		if event.Restored {
 			e.timers.Add(e.directory.restored.until, func(now time.Time) { e.directory.acceptHeld(now, e.noteUpstream) })
@@ -364,9 +370,18 @@
 }
 
 func (e *Engine) setHosts(now time.Time, hosts []Host) {
+	listedBefore, roleBefore, outBefore := len(e.fleet.ranked) > 0, e.fleet.role, e.fleet.registeredAsPartitioned()
 	if !e.fleet.set(hosts) {
 		return
 	}
+	if listedBefore && roleBefore != e.fleet.role {
+		e.changeRole(now, roleBefore)
+	}
+	out := e.fleet.registeredAsPartitioned()
+	if outBefore && !out {
+		e.directory.coldHoldUntil = now.Add(rankSettleTime)
+	}
+	e.directory.replaced = out || e.connectivity.partitioned
 	e.directory.hosts = e.directory.hosts[:0]
 	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
 		e.directory.hosts = append(e.directory.hosts, h.ID)
@@ -382,14 +397,33 @@
 		e.domainWatchStarted = true
 		e.timers.Add(now.Add(pingInterval), e.watchDomains)
 	}
-	e.note(Note{Decision: DecisionHosts, Parts: len(hosts), Detail: e.fleet.role.String()})
+	e.note(Note{Decision: DecisionHosts, Parts: len(hosts), Missing: e.fleet.partitioned(), Detail: e.fleet.role.String()})
 }
 
 // Role returns the role of this host.
 func (e *Engine) Role() Role { return e.fleet.role }
 
-// Ranked returns all hosts of the tier in the order of RankHosts.
-func (e *Engine) Ranked() []Host { return e.fleet.ranked }
+// Registered returns all hosts of the tier in the order of RankHosts. It returns the
+// same slice until hosts come or go.
+func (e *Engine) Registered() []Host { return e.fleet.registered }
+
+// RegistrationOutdated reports whether this host has to register again, since its
+// record does not tell whether it reaches the upstreams.
+func (e *Engine) RegistrationOutdated() bool {
+	return e.fleet.indexOf(e.fleet.self) >= 0 && e.fleet.registeredAsPartitioned() != e.connectivity.partitioned
+}
+
+// changeRole applies a change of this host's role. A host that becomes a gatherer
+// does not know yet whether it reaches the upstreams, and may spend its share of the
+// allowance for extra sends only when the shares of its predecessors have expired.
+func (e *Engine) changeRole(now time.Time, before Role) {
+	if before == Entry {
+		e.targetSince = now
+	}
+	if e.fleet.role == Gatherer && !e.connectivity.partitioned {
+		e.checkConnectivityOnce(now)
+	}
+}
 
 func (e *Engine) note(n Note) { e.out.Notes = append(e.out.Notes, n) }
 
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -30,6 +30,8 @@
 	Address string
 	// Cores is how many processor cores it may use.
 	Cores float64
+	// Partitioned is true if the host has registered that it reaches no upstreams.
+	Partitioned bool
 }
 
 // Role is the part of a host in answering requests.
@@ -72,6 +74,25 @@
 	return append(interleave(strong), interleave(weak)...), len(strong)
 }
 
+// rankReachable ranks hosts like RankHosts, but those that reach no upstreams last,
+// unless none does.
+func rankReachable(hosts []Host) (ranked []Host, strongHosts int) {
+	var reachable, partitioned []Host
+	for _, h := range hosts {
+		if h.Partitioned {
+			partitioned = append(partitioned, h)
+		} else {
+			reachable = append(reachable, h)
+		}
+	}
+	if len(reachable) == 0 {
+		return RankHosts(partitioned)
+	}
+	ranked, strongHosts = RankHosts(reachable)
+	last, _ := RankHosts(partitioned)
+	return append(ranked, last...), strongHosts
+}
+
 // interleave takes one host of each failure domain in turn.
 func interleave(hosts []Host) []Host {
 	order := xxhash.Sum64String
@@ -96,10 +117,15 @@
 type fleet struct {
 	self        core.HostID
 	domain      core.DomainID
-	ranked      []Host
-	strongHosts int // how many of ranked are strong
-	role        Role
-	peers       map[core.HostID]*peer
+	ranked      []Host // by rankReachable
+	strongHosts int    // how many of ranked are strong
+	// registered are the hosts in the order of RankHosts, whether they reach the
+	// upstreams or not. minTargets is how many of them requests would be handed
+	// over to if all did.
+	registered []Host
+	minTargets int
+	role       Role
+	peers      map[core.HostID]*peer
 	// gatherersIn counts the gatherers by failure domain.
 	gatherersIn map[core.DomainID]int
 	// followed is true if other hosts follow this one.
@@ -116,11 +142,12 @@
 
 // set replaces the hosts of the tier, and reports whether anything changed.
 func (f *fleet) set(hosts []Host) bool {
-	ranked, strongHosts := RankHosts(hosts)
+	ranked, strongHosts := rankReachable(hosts)
 	if slices.Equal(ranked, f.ranked) {
 		return false
 	}
 	f.ranked, f.strongHosts = ranked, strongHosts
+	f.setRegistered(hosts)
 	f.role = f.roleOf(f.self)
 	peers := map[core.HostID]*peer{}
 	for _, h := range f.handoverTargets() {
@@ -142,6 +169,37 @@
 	return true
 }
 
+// setRegistered ranks the registered hosts. The slice is kept if only their
+// connectivity has changed.
+func (f *fleet) setRegistered(hosts []Host) {
+	hosts = slices.Clone(hosts)
+	for i := range hosts {
+		hosts[i].Partitioned = false
+	}
+	registered, strong := RankHosts(hosts)
+	if !slices.Equal(registered, f.registered) {
+		f.registered = registered
+	}
+	f.minTargets = min(len(registered), min(strong, maxGatherers)+maxStandbys)
+}
+
+// partitioned counts the hosts that are registered as reaching no upstreams.
+func (f *fleet) partitioned() (count int) {
+	for _, h := range f.ranked {
+		if h.Partitioned {
+			count++
+		}
+	}
+	return count
+}
+
+// registeredAsPartitioned reports whether this host is registered as one that
+// reaches no upstreams.
+func (f *fleet) registeredAsPartitioned() bool {
+	at := f.indexOf(f.self)
+	return at >= 0 && f.ranked[at].Partitioned
+}
+
 // roleOf returns a host's role. A host that is not in the list is a gatherer, so
 // that it can answer its own callers.
 func (f *fleet) roleOf(id core.HostID) Role {
@@ -187,10 +245,11 @@
 }
 
 // allowanceShare returns this host's share of the extra sends that the tier may
-// make beyond a ratio of its requests. Entry hosts have none.
+// make beyond a ratio of its requests. Entry hosts have none. The shares do not grow
+// while hosts are partitioned, since those may have used theirs shortly before.
 func (f *fleet) allowanceShare() float64 {
 	if f.role == Entry || len(f.ranked) == 0 {
 		return 0
 	}
-	return 1 / float64(len(f.handoverTargets()))
+	return 1 / float64(max(f.minTargets, len(f.handoverTargets())))
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -326,7 +326,9 @@
 	h.upstreamLinks.down.Store(c.Partitioned())
 	h.upstreamLinks.openOnly.Store(c.OpenConnectionsMayWork())
 	current := h.registry.current.Load()
-	if ranked, active := c.Ranked(), c.Active(now); active != current.active || len(ranked) > 0 && !sameHosts(ranked, current.ranked) {
+	h.registry.partitioned.Store(c.Partitioned())
+	h.registry.recordOutdated.Store(c.RegistrationOutdated())
+	if ranked, active := c.Registered(), c.Active(now); active != current.active || len(ranked) > 0 && !sameHosts(ranked, current.ranked) {
 		h.registry.current.Store(&plan{self: current.self, ranked: ranked, active: active})
 	}
 }
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -87,6 +87,9 @@
 	// hostsRestored is set when the list of hosts comes from a restored store, and
 	// cleared once this host is known to be in it.
 	hostsRestored atomic.Bool
+	// partitioned is whether this host reaches no upstreams, recordOutdated whether
+	// its record has to be stored again since it says otherwise.
+	partitioned, recordOutdated atomic.Bool
 	// onHostSeen is called for each message from a followed host, onSilentHosts
 	// with each list of silent hosts that such a host reports.
 	onHostSeen    func(core.HostID)
@@ -178,7 +181,9 @@
 func (r *registry) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		err := platform.RegisterHost(callCtx, r.objects, r.self)
+		self := r.self
+		self.Partitioned = r.partitioned.Load()
+		err := platform.RegisterHost(callCtx, r.objects, self)
 		cancel()
 		if err == nil {
 			return
@@ -308,6 +313,7 @@
 	followingSince time.Time // zero while no stream is up
 	lastHostList   time.Time
 	lastFetch      time.Time
+	lastUpdate     time.Time // of this host's record
 	fetching       atomic.Bool
 	unlistedSince  time.Time // zero while this host is in the list of hosts
 	tasks          sync.WaitGroup
@@ -339,6 +345,10 @@
 	}
 	w.adjustStreams(ctx, p)
 	w.reregister(ctx)
+	if r.recordOutdated.Load() && time.Since(w.lastUpdate) > registerRetryDelay {
+		w.lastUpdate = time.Now()
+		w.tasks.Go(func() { r.register(ctx) })
+	}
 	if p.active && time.Since(w.lastFetch) > fetchInterval && !r.allFeedsLoaded() && w.fetching.CompareAndSwap(false, true) {
 		w.lastFetch = time.Now()
 		w.tasks.Go(func() {
