Hosts that reach the upstreams again use cold ones after one second

The wait before a host takes back its share of a cold upstream's rate was twice as long as any host needs to read its record again, and nobody used the share meanwhile. The tolerated overshoot covers one host that reads it later than that. The test judged 18 of 144 requests of one seed and was passed or failed by luck; it now adds up ten seeds.

--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -121,7 +121,7 @@
 
 // rankSettleTime is how long after a change of its record a host may assume that
 // the others do not know of it.
-const rankSettleTime = 2 * time.Second
+const rankSettleTime = time.Second
 
 func newDirectory(self core.HostID, domain core.DomainID, assumedHosts int) *directory {
 	return &directory{
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -464,11 +464,12 @@
 	const (
 		overshoot     = 1.5
 		slack         = 5
-		minUsed       = 0.2 // of what the rate allows
+		minUsed       = 1.0 / 3 // of what the rates allow
 		partitionTime = 3 * time.Second
 	)
 	for _, kind := range []cutKind{hangs, refuses} {
-		for seed := range uint64(4) {
+		used, allowed := 0.0, 0.0
+		for seed := range uint64(10) {
 			s := newTier(12, 6, simSweep, simQuick)
 			s.random = rand.New(rand.NewPCG(seed, 7))
 			s.enableRelay()
@@ -490,11 +491,13 @@
 				if most := mostWithin(u.arrivals, time.Second); float64(most) > simColdRate*overshoot+slack {
 					t.Errorf("%s, seed %d: %d requests in a second to an upstream that bears %v", cutNames[kind], seed, most, simColdRate)
 				}
-				if used := float64(len(u.arrivals)); used < minUsed*simColdRate*24 {
-					t.Errorf("%s, seed %d: a cold upstream got %v requests in 24 s", cutNames[kind], seed, used)
-				}
+				used += float64(len(u.arrivals))
+				allowed += simColdRate * 24
 			}
 		}
+		if used < minUsed*allowed {
+			t.Errorf("%s: cold upstreams got %v requests in all, of %v that they bear", cutNames[kind], used, allowed)
+		}
 	}
 }
 
