Use a host again as soon as it is heard after its silence

Seen: edge test of a tier of two hosts, one of them partitioned; 241 requests refused within 200 ms. An answer took 9 ms instead of 3, and the ping more than 3, so the only other host was backed off as silent. With one or two hosts left that reach the upstreams, and all the load there, this is likely. Cause: the time for the answer to a ping was the usual latency of the host, however short, and the backoff went on after the answer had come. Fix: at least 20 ms for a ping; a host that was backed off for its silence alone is used again when anything arrives from it. Test: TestSlowAnswerToAPingEndsTheBackoff, refused before.

--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -34,7 +34,9 @@
 	running      int
 	failures     int
 	backoffUntil time.Time
-	heardAt      time.Time
+	// silent is true if the host is backed off because nothing was received from it.
+	silent  bool
+	heardAt time.Time
 	// lostAt is when the host was last backed off, nextPingAt when it is pinged
 	// next to find out whether it is back.
 	lostAt, nextPingAt time.Time
@@ -67,8 +69,10 @@
 	// peerLatencyGain the weight of an observation.
 	initialPeerLatency = 100 * time.Millisecond
 	peerLatencyGain    = 0.1
-	// probeFactor times a host's latency without an answer, the host is pinged.
+	// probeFactor times a host's latency without an answer, the host is pinged. It
+	// has its latency to answer the ping, and at least minPingWait.
 	probeFactor = 2
+	minPingWait = 20 * time.Millisecond
 	// overheadIncrease and overheadDecrease are the steps by which the estimate
 	// follows an observation. It settles at the 90th percentile.
 	overheadIncrease = 0.18
@@ -177,9 +181,9 @@
 	}
 	p := attempt.to
 	e.out.Probes = append(e.out.Probes, p.Host)
-	e.timers.Add(now.Add(p.latency), func(later time.Time) {
+	e.timers.Add(now.Add(max(minPingWait, p.latency)), func(later time.Time) {
 		if h.isActive(attempt) && p.heardAt.Before(now) {
-			e.backOffHost(later, p, HandoverEnded{Outcome: Lost, Cause: "silent"})
+			e.backOffSilentHost(later, p)
 			e.repeatHandover(later, h)
 		}
 	})
@@ -212,7 +216,7 @@
 // heardFrom records that something was received from a host.
 func (e *Engine) heardFrom(now time.Time, h HostAlive) {
 	if p := e.fleet.peers[h.ID]; p != nil {
-		p.heardAt = now
+		p.recordHeard(now)
 		if h.Withdrawn && p.Domain == e.fleet.domain {
 			e.domains.localWithdrawnAt = now
 			e.decideWithdrawal(now)
@@ -310,7 +314,7 @@
 	p := attempt.to
 	p.running--
 	if r.Outcome != Unreached && r.Outcome != Lost {
-		p.heardAt = now
+		p.recordHeard(now)
 		e.recordDomainAlive(now, p.Domain)
 	}
 	switch {
@@ -353,18 +357,33 @@
 func (e *Engine) backOffHost(now time.Time, p *peer, r HandoverEnded) {
 	wait := min(maxHostBackoff, minHostBackoff<<min(p.failures, 8))
 	p.failures++
-	p.backoffUntil = now.Add(wait)
+	p.silent, p.backoffUntil = false, now.Add(wait)
 	p.lostAt = now
 	e.schedulePing(now, p, wait)
 	e.note(Note{Decision: DecisionHostBackoff, Upstream: core.UpstreamID(p.ID), Age: wait, Detail: r.Outcome.String() + ": " + r.Cause})
 }
 
+// backOffSilentHost backs off a host until something is received from it, or for the
+// usual period.
+func (e *Engine) backOffSilentHost(now time.Time, p *peer) {
+	e.backOffHost(now, p, HandoverEnded{Outcome: Lost, Cause: "silent"})
+	p.silent = true
+}
+
+// recordHeard records that something was received from the host.
+func (p *peer) recordHeard(now time.Time) {
+	p.heardAt = now
+	if p.silent {
+		p.silent, p.backoffUntil = false, now
+	}
+}
+
 // backOffSilentHosts backs off the hosts that have let a request reach its
 // deadline and from which nothing was received since they were sent it.
 func (e *Engine) backOffSilentHosts(now time.Time, h *handover) {
 	for _, attempt := range h.attempts {
 		if now.Sub(attempt.sentAt) >= hostSilenceTimeout && attempt.to.heardAt.Before(attempt.sentAt) && !now.Before(attempt.to.backoffUntil) {
-			e.backOffHost(now, attempt.to, HandoverEnded{Outcome: Lost, Cause: "silent"})
+			e.backOffSilentHost(now, attempt.to)
 		}
 	}
 }
--- a/core/scatter/handover_test.go
+++ b/core/scatter/handover_test.go
@@ -306,3 +306,26 @@
 		}
 	})
 }
+
+// TestSlowAnswerToAPingEndsTheBackoff: a host that answers a request and a ping later
+// than usual is used again as soon as something arrives from it. It may be the only
+// one that reaches the upstreams.
+func TestSlowAnswerToAPingEndsTheBackoff(t *testing.T) {
+	r := newRig(t)
+	r.step(scatter.HostsSeen{Hosts: []scatter.Host{{ID: "host-1", Domain: "d1", Cores: 0.1}, {ID: "host-2", Domain: "d1", Cores: 1}}})
+	answerAfter, pingAfter := 3*ms, ms
+	r.peer = func(scatter.Handover) (time.Duration, scatter.Outcome) { return answerAfter, scatter.Succeeded }
+	r.probed = func(id core.HostID) {
+		r.later.Add(r.now.Add(pingAfter), func() { r.step(scatter.HostAlive{ID: id}) })
+	}
+	for range 40 {
+		r.ask(orderPath)
+		r.run(10 * ms)
+	}
+	answerAfter, pingAfter = 120*ms, 60*ms
+	r.ask(orderPath)
+	r.run(100 * ms)
+	call := r.ask(orderPath)
+	r.run(200 * ms)
+	r.want(call, scatter.PassedOn)
+}
