Tests: an answer that is cut in its head is no answer

It does not happen here: an answer is read whole before any of it is passed on, and a head without its end is an error, wherever it is cut and whatever frames the body. The caller gets 502, or another server's answer. No change of the product.

--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -30,6 +30,9 @@
 	LoseAnswer
 	// Truncate closes the connection in the middle of the body.
 	Truncate
+	// TruncateHead closes the connection in the middle of the head, after the
+	// signature.
+	TruncateHead
 	// Extra sends each answer twice.
 	Extra
 	// Unframed sends no Content-Length; the end of the connection ends the body.
@@ -395,6 +398,9 @@
 	case Truncate:
 		write(framed[:len(framed)-len(s.config.Body)/2])
 		return false
+	case TruncateHead:
+		write(head)
+		return false
 	case MalformedAnswer:
 		write("\x16\x03\x01 this is no answer\r\n\r\n")
 		return false
