A gather with enough parts is answered at its deadline

Found while the planned stop was looked at. A gather whose caller waits for less than the route's target is to be answered at the deadline, but the deadline's timer came first and ended it with 504, with the parts at hand. Test: TestGatherWithEnoughPartsIsAnsweredAtItsDeadline, timed out before.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -438,8 +438,18 @@
 	return slices.ContainsFunc(c.parts, func(p *part) bool { return p.executed || p.pending > 0 || p.answered })
 }
 
-// timeOut ends a call at its deadline.
+// timeOut ends a call at its deadline. A gather is answered if it has enough parts.
 func (e *Engine) timeOut(now time.Time, c *call) {
+	received := 0
+	for _, p := range c.parts {
+		if p.answered {
+			received++
+		}
+	}
+	if received >= c.minParts() {
+		e.answer(now, c, received)
+		return
+	}
 	if !c.mayHaveRun() {
 		e.refuse(now, c, "no upstream was free in time")
 		return
--- a/core/scatter/gather_test.go
+++ b/core/scatter/gather_test.go
@@ -281,3 +281,22 @@
 	}
 	t.Error("no note of the answer")
 }
+
+// TestGatherWithEnoughPartsIsAnsweredAtItsDeadline: a gather whose caller waits for
+// less than the route's target is answered with the parts at hand.
+func TestGatherWithEnoughPartsIsAnsweredAtItsDeadline(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 10)
+	r.warmUp(gatherPath, 10*ms)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if s.Target.Service == "shard03" {
+			return time.Hour, scatter.Lost
+		}
+		return 10 * ms, scatter.Succeeded
+	}
+	call := r.arrive(scatter.RequestArrived{Path: gatherPath, Budget: 60 * ms})
+	r.run(60 * ms)
+	if a := r.want(call, scatter.Gathered); a.Missing != 1 {
+		t.Errorf("%d parts are missing", a.Missing)
+	}
+}
