A planned stop gives every request its final answer

It can happen here: a host takes requests on open connections for 0.65 of the grace, whatever they take, and what is still at work at 0.93 of it is cut when the process ends. Cause: the time of the stop was known to the servers of the host, but not to the part that accepts requests and sets their deadlines. Ruled out: handing late requests over. The caller's connection ends with this host.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -54,6 +54,10 @@
 		return
 	}
 	c := e.newCall(a, route)
+	if usual := e.usualLatency(route, c.parts[0].service).estimate; !e.endsBeforeStop(now, c.wanted, usual) {
+		e.refuse(now, c, "this host stops before the request is expected to end")
+		return
+	}
 	if !a.Repeat { // the first host has already counted a repeat
 		for _, p := range c.parts {
 			e.budget(p.service).requests.add(now)
@@ -92,7 +96,8 @@
 	if a.Budget > 0 {
 		budget = min(budget, e.answerBudget(a.Budget))
 	}
-	c.deadline = a.At.Add(budget)
+	c.wanted = a.At.Add(budget)
+	c.deadline = e.endBy(c.wanted)
 	c.answerAt = a.At.Add(max(0, route.Target-e.options.AnswerMargin))
 	if c.answerAt.After(c.deadline) {
 		c.answerAt = c.deadline
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -56,6 +56,7 @@
 	domains            domainMonitor
 	domainWatchStarted bool
 	connectivity       connectivity
+	stopsAt            time.Time // zero unless this host stops
 	// targetSince is when this host stopped being an entry host; the zero time if it
 	// has never been one.
 	targetSince time.Time
@@ -96,12 +97,14 @@
 
 // call is one caller's request.
 type call struct {
-	id       core.CallID
-	request  RequestArrived
-	route    *Route
-	config   *Config
-	parts    []*part
-	deadline time.Time
+	id      core.CallID
+	request RequestArrived
+	route   *Route
+	config  *Config
+	parts   []*part
+	// deadline is when the call ends without an answer: when its caller stops
+	// waiting, at wanted, or when this host stops.
+	deadline, wanted time.Time
 	// answerAt is when a gather is answered with the parts received so far.
 	answerAt time.Time
 	extras   int
@@ -176,7 +179,7 @@
 // the quarantine) and the counters, and reuses no attempt number.
 func (e *Engine) Successor() *Engine {
 	next := New(e.options)
-	next.sequence, next.startedAt = e.sequence, e.startedAt
+	next.sequence, next.startedAt, next.stopsAt = e.sequence, e.startedAt, e.stopsAt
 	next.budgets = e.budgets
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.forSuccessor()
@@ -295,6 +298,8 @@
 	case StoreReachable:
 		e.directory.setReachable(now, event.Reachable)
 		e.startGraceTimer(now)
+	case Stopping:
+		e.stopBy(event.Until)
 	case LimitEnded:
 		e.handleLimitEnd(now, event.LimitEnd)
 	case Tick:
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -122,11 +122,24 @@
 	if budget <= 0 {
 		budget = defaultHandoverBudget
 	}
-	h := &handover{request: a, tried: map[core.HostID]bool{}, deadline: a.At.Add(e.answerBudget(budget))}
+	deadline := a.At.Add(e.answerBudget(budget))
+	if !e.endsBeforeStop(now, deadline, e.usualHandoverLatency()) {
+		e.refuseUnrouted(now, a, "this host stops before the request is expected to end")
+		return
+	}
+	h := &handover{request: a, tried: map[core.HostID]bool{}, deadline: e.endBy(deadline)}
 	e.startHandover(h)
 	e.tryNextHost(now, h)
 }
 
+// usualHandoverLatency returns the longest average time that handovers to a host take.
+func (e *Engine) usualHandoverLatency() (longest time.Duration) {
+	for _, p := range e.fleet.peers {
+		longest = max(longest, p.latency)
+	}
+	return longest
+}
+
 // startHandover registers a handover, which ends at its deadline.
 func (e *Engine) startHandover(h *handover) {
 	e.handovers[h.request.Call] = h
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -295,6 +295,38 @@
 	h.stopAndWait()
 }
 
+// TestLateRequestIsAnsweredBeforeTheStopEnds checks that a request that is taken late
+// in a planned stop, and whose server then takes longer than the stop, gets a final
+// answer before its connection ends. A refused one must not have run.
+func TestLateRequestIsAnsweredBeforeTheStopEnds(t *testing.T) {
+	for _, path := range []string{"/order/7", "/gather/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			cluster := newTwoShardCluster(t)
+			h := cluster.startHost("host-1", 1)
+			for i := range 5 {
+				h.request("GET", path, fmt.Sprint("before-", i), "")
+			}
+			late := time.Duration(0.5 * float64(h.platformSettings.StopWithin))
+			for _, s := range cluster.servers {
+				s.PauseFor(2 * h.platformSettings.StopWithin)
+			}
+			h.stop()
+			time.Sleep(late)
+			got := h.request("GET", path, "late", "")
+			if got.err != nil {
+				t.Fatalf("no answer: %v", got.err)
+			}
+			for id, s := range cluster.servers {
+				if runs, _ := s.Runs("late"); got.status == http.StatusServiceUnavailable && runs > 0 {
+					t.Errorf("refused, but run by %s", id)
+				}
+			}
+			h.stopAndWait()
+		})
+	}
+}
+
 // TestIdleTimeoutOfCallerConnections checks that a caller's connection is closed
 // once it is idle for longer than the configured timeout, and not before.
 func TestIdleTimeoutOfCallerConnections(t *testing.T) {
--- a/edge/host.go
+++ b/edge/host.go
@@ -32,9 +32,11 @@
 	// callers' open connections are still served; the remainder is for requests in
 	// flight. The stop period ends when the platform kills the process.
 	lingerShare = 0.65
-	// shutdownShare is the fraction of the stop period after which requests in
-	// flight are cut off.
-	shutdownShare = 0.93
+	// finalAnswerShare is the fraction of the stop period after which all requests in
+	// flight get their final answer, shutdownShare the fraction after which their
+	// connections are cut off.
+	finalAnswerShare = 0.88
+	shutdownShare    = 0.93
 	// pingTimeout ends a ping. Its answer is of no use long before that.
 	pingTimeout = time.Second
 	// bodyMemoryShare is the fraction of the process's memory that the large
@@ -418,6 +420,7 @@
 	h.stopping.Store(true)
 	h.frontend.stopping.Store(true)
 	close(h.draining)
+	h.enqueue(scatter.Stopping{Until: started.Add(time.Duration(finalAnswerShare * float64(h.platformSettings.StopWithin)))})
 	h.log.Info().Str("event", "stopping").Dur("within", h.platformSettings.StopWithin).Msg("planned stop")
 	time.Sleep(time.Duration(lingerShare * float64(h.platformSettings.StopWithin)))
 	end := started.Add(time.Duration(shutdownShare * float64(h.platformSettings.StopWithin)))
