Moving a request does not close connections that may work

Cause: a request that is moved or returned cancels its attempts, which closes their connections. A host that is refused new ones loses up to twenty with each such request. Fix: attempts are cancelled only where the connections are silent.

--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -276,6 +276,9 @@
 	c := &e.connectivity
 	round := c.round
 	c.round = nil
+	if c.partitioned && complete {
+		c.refused = round.refused == round.checks
+	}
 	switch {
 	case !complete:
 	case !c.partitioned && round.opened == 0 && round.checks >= minFailingUpstreams:
@@ -288,7 +291,6 @@
 		c.succeededRounds = 0
 	}
 	if c.partitioned {
-		c.refused = round.refused == round.checks
 		e.scheduleRecoveryRound(now)
 	}
 	e.resolveRefusals(now, round)
@@ -315,7 +317,7 @@
 		Decision: DecisionPartitioned, Age: since(now, c.answeredAt), UpstreamsLost: len(c.failing), Attempt: round.checks,
 		Detail: fmt.Sprintf("no connection to an upstream can be opened, %d of %d refused", round.refused, round.checks),
 	})
-	c.partitioned, c.since, c.succeededRounds = true, now, 0
+	c.partitioned, c.refused, c.since, c.succeededRounds = true, round.refused == round.checks, now, 0
 	e.directory.replaced = true
 	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
 		if call := e.calls[id]; e.expectedParts(now, call) < call.minParts() {
@@ -352,7 +354,7 @@
 		if ran {
 			kind = Interrupted
 		}
-		e.cancelAttempts(c)
+		e.cancelSilentAttempts(c)
 		c.queued = false // its end says nothing about queues
 		e.finish(now, c, Answer{Call: c.id, Kind: kind, Partitioned: true}, why)
 		return true
@@ -362,7 +364,7 @@
 	if p == nil {
 		return false
 	}
-	e.cancelAttempts(c)
+	e.cancelSilentAttempts(c)
 	c.queued = false
 	e.removeCall(now, c)
 	e.startHandover(h)
@@ -374,6 +376,14 @@
 	return true
 }
 
+// cancelSilentAttempts cancels the attempts of a call unless connections that are open
+// may still work: cancelling an attempt closes its connection.
+func (e *Engine) cancelSilentAttempts(c *call) {
+	if !e.connectivity.refused {
+		e.cancelAttempts(c)
+	}
+}
+
 // mayRunOnceMore reports whether another host may send the parts of a call once
 // more, each to its designated upstream.
 func (e *Engine) mayRunOnceMore(c *call) bool {
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -34,12 +34,20 @@
 	open                 map[simLink]bool
 	closeShare           float64
 	storeAway            bool
+	links                map[simAttempt]simLink
 	registering          map[int]bool // hosts that are about to store their record again
 	counting             bool         // whether first tries are counted
+	countSpared          bool         // among the others: hosts whose open connections work
 	noted                func(core.HostID, scatter.Note)
 	cutTries, otherTries firstTries
 }
 
+// simAttempt is an attempt of a host.
+type simAttempt struct {
+	engine  int
+	attempt uint64
+}
+
 // simLink is a connection of a host to an upstream.
 type simLink struct {
 	host core.HostID
@@ -118,7 +126,7 @@
 	s := &tier{
 		now: epoch, random: rand.New(rand.NewPCG(1, 2)), upstreams: map[core.UpstreamID]*simUpstream{},
 		callsByID: map[core.CallID]*simCall{}, routes: map[string]simRoute{},
-		cuts: map[core.HostID]cutKind{}, cutAt: map[core.HostID]time.Time{}, open: map[simLink]bool{}, closeShare: simCloseShare, registering: map[int]bool{},
+		cuts: map[core.HostID]cutKind{}, cutAt: map[core.HostID]time.Time{}, open: map[simLink]bool{}, closeShare: simCloseShare, registering: map[int]bool{}, links: map[simAttempt]simLink{},
 	}
 	for i := range hosts {
 		s.hosts = append(s.hosts, scatter.Host{ID: core.HostID(fmt.Sprint("host-", i)), Domain: core.DomainID(fmt.Sprint("d", i%3)), Cores: 1})
@@ -187,6 +195,9 @@
 		}
 		s.send(engine, sender, send)
 	}
+	for _, c := range out.Cancels {
+		delete(s.open, s.links[simAttempt{engine, c.Attempt}])
+	}
 	for _, check := range out.Checks {
 		after, result := s.check(s.hosts[engine].ID)
 		s.later.Add(s.now.Add(after), func() {
@@ -240,6 +251,7 @@
 	}
 	kind := s.cuts[sender]
 	link := simLink{sender, send.Target.ID}
+	s.links[simAttempt{engine, send.Attempt}] = link
 	if kind != noCut && !(kind == spares && s.open[link]) {
 		after, outcome := s.cutSend(kind, sender, send)
 		if send.Via.ID != "" {
@@ -376,7 +388,7 @@
 		result.asked++
 		if s.counting {
 			call.tries = &s.otherTries
-			if s.cuts[s.hosts[engine].ID] != noCut {
+			if kind := s.cuts[s.hosts[engine].ID]; kind != noCut && !(s.countSpared && kind == spares) {
 				call.tries = &s.cutTries
 			}
 			call.tries.asked++
