--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -21,8 +21,9 @@
 // handleRequest routes a request and sends its parts, or refuses it at once.
 func (e *Engine) handleRequest(now time.Time, a RequestArrived) {
 	e.stats.Requests++
-	if a.FromHost && (e.connectivity.partitioned || !a.AllowStale && (!e.Ready() || e.directory.stale(now))) {
-		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined, Partitioned: e.connectivity.partitioned})
+	if a.FromHost && !e.mayTakeOver(now, a) {
+		unreachable := e.connectivity.partitioned && (a.Repeat || !e.openConnectionsWork(now))
+		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined, Partitioned: unreachable})
 		return
 	}
 	if e.shouldHandOver(a) {
@@ -32,6 +33,15 @@
 	e.answerRequest(now, a)
 }
 
+// mayTakeOver reports whether this host accepts a request of another host. While its
+// data may be stale or it is partitioned, it does so only if no other host can.
+func (e *Engine) mayTakeOver(now time.Time, a RequestArrived) bool {
+	if e.connectivity.partitioned {
+		return a.AllowStale && e.openConnectionsWork(now)
+	}
+	return a.AllowStale || e.Ready() && !e.directory.stale(now)
+}
+
 // answerRequest has this host answer a request from upstreams.
 func (e *Engine) answerRequest(now time.Time, a RequestArrived) {
 	if !e.Ready() {
--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -417,12 +417,18 @@
 	}
 }
 
+// openConnectionsWork reports whether upstreams answer a partitioned host over
+// connections that are open.
+func (e *Engine) openConnectionsWork(now time.Time) bool {
+	return e.connectivity.refused && now.Sub(e.connectivity.answeredAt) < openConnectionTTL
+}
+
 // mayTryUpstreams reports whether a partitioned host should try to answer a request
 // that no other host accepts. The trial must be harmless if it fails.
 func (e *Engine) mayTryUpstreams(now time.Time, r *Route) bool {
 	c := &e.connectivity
 	switch {
-	case !c.partitioned || c.refused && now.Sub(c.answeredAt) < openConnectionTTL:
+	case !c.partitioned || e.openConnectionsWork(now):
 		return true
 	case !r.Repeatable || now.Sub(c.trialAt) < trialRequestInterval:
 		return false
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -562,3 +562,21 @@
 		t.Errorf("%d extra sends shortly after the change, %d long after", early, late)
 	}
 }
+
+// TestHostsWithOpenConnectionsServeOthers: when all hosts are partitioned, those whose
+// connections are still open also serve the callers of those that have none.
+func TestHostsWithOpenConnectionsServeOthers(t *testing.T) {
+	for _, kind := range []cutKind{hangs, resets} {
+		s := newTier(8, 10, simSweep, simQuick)
+		s.enableRelay()
+		s.closeShare = 0.01
+		s.offer(40, 6*time.Second, simMix...)
+		s.partition(spares, 0, 1, 2, 4, 5, 7)
+		s.partition(kind, 0, 0, 3, 6)
+		s.offer(40, time.Second, simMix...)
+		s.countFirstTries()
+		s.countSpared = true
+		s.offer(40, 5*time.Second, simMix...)
+		s.wantPartitionMet(t)
+	}
+}
