A host whose connections hang tries no upstream

Callers of one request in seven waited for their deadline in vain. Cause: five times a second a partitioned host tried a request that no other host took. That is of use where connections that are open may still work, and none where they hang; rounds of checks find the end of the cut.

--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -34,9 +34,9 @@
 	checkRoundInterval   = time.Second
 	recoveryInterval     = 500 * time.Millisecond
 	recoveredAfterRounds = 2
-	// trialRequestInterval is the time between two requests that a partitioned host
-	// tries to answer itself if no other host accepts them, unless an upstream has
-	// answered over an open connection within openConnectionTTL.
+	// trialRequestInterval is the time between two requests that a host which is
+	// refused new connections tries to answer itself if no other host accepts them,
+	// unless an upstream has answered over an open connection within openConnectionTTL.
 	trialRequestInterval = 200 * time.Millisecond
 	openConnectionTTL    = time.Second
 )
@@ -430,7 +430,7 @@
 	switch {
 	case !c.partitioned || e.openConnectionsWork(now):
 		return true
-	case !r.Repeatable || now.Sub(c.trialAt) < trialRequestInterval:
+	case !c.refused || !r.Repeatable || now.Sub(c.trialAt) < trialRequestInterval:
 		return false
 	}
 	c.trialAt = now
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -580,3 +580,28 @@
 		s.wantPartitionMet(t)
 	}
 }
+
+// TestSilentUpstreamsAreNotTried: a host whose connections hang, and that no other
+// host relieves, refuses all requests at once and holds none until its deadline.
+func TestSilentUpstreamsAreNotTried(t *testing.T) {
+	s := newTier(8, 10, simSweep, simQuick)
+	s.enableRelay()
+	s.offer(60, 2*time.Second, simMix...)
+	s.partition(hangs, 0, 0, 1, 2, 3, 4, 5, 6, 7)
+	s.offer(60, 2*time.Second, simMix...)
+	sends := 0
+	s.noted = func(_ core.HostID, n scatter.Note) {
+		if n.Decision == scatter.DecisionAttemptFailed {
+			sends++
+		}
+	}
+	got := s.offer(60, 3*time.Second, simMix...)
+	for path, r := range got {
+		if r.refused < r.asked {
+			t.Errorf("%s: %+v", path, *r)
+		}
+	}
+	if sends > 0 {
+		t.Errorf("%d failed attempts", sends)
+	}
+}
