Soak: hosts lose all upstreams

Loopback cannot be cut for one process without privileges (a socket filter is not supported either), so the links are cut in the process, by a dialer that a file controls: cmd/samphirebeam-edge is now two lines around edge/command, and standin/soak/faultyedge is the same with that dialer.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 SEED ?= 1
 SEEDS ?= 10
 soak: build
+	go build -o bin/ ./standin/soak/faultyedge
 	bin/samphirebeam-soak -seed $(SEED) -seeds $(SEEDS)
 
 # The result as JSON and HTML goes to out/.
--- a/cmd/samphirebeam-soak/main.go
+++ b/cmd/samphirebeam-soak/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	fs := flag.NewFlagSet("samphirebeam-soak", flag.ContinueOnError)
-	program := fs.String("program", "bin/samphirebeam-edge", "the program under test")
+	program := fs.String("program", "bin/faultyedge", "the program under test, samphirebeam-edge with links that the soak can cut")
 	folder := fs.String("folder", "out/soak", "settings and logs go below it")
 	first := fs.Uint64("seed", 1, "first seed")
 	seeds := fs.Uint64("seeds", 1, "how many seeds, one after the other")
--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -1,6 +1,5 @@
-// Command samphirebeam-edge runs one host of the query tier on the users'
-// platform.
-package main
+// Package command is the command line of samphirebeam-edge.
+package command
 
 import (
 	"context"
@@ -27,9 +26,11 @@
 // stacks and buffers outside the heap.
 const heapFraction = 0.7
 
-func main() {
+// Main runs the command with the arguments of the process. The options apply to the
+// host that it runs.
+func Main(options ...edge.Option) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	err := command().ParseAndRun(ctx, os.Args[1:])
+	err := command(options).ParseAndRun(ctx, os.Args[1:])
 	stop()
 	switch {
 	case err == nil:
@@ -41,13 +42,15 @@
 	}
 }
 
-func command() *ffcli.Command {
+func command(options []edge.Option) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "samphirebeam-edge",
 		ShortUsage: "samphirebeam-edge <run|check|version> [flags]",
 		ShortHelp:  "one host of the query tier on the users' platform",
 		Subcommands: []*ffcli.Command{
-			withSettings("run", "run the host until SIGTERM, then stop gracefully", run),
+			withSettings("run", "run the host until SIGTERM, then stop gracefully", func(ctx context.Context, settings edge.Settings) error {
+				return run(ctx, settings, options)
+			}),
 			withSettings("check", "validate the settings and print the effective values", check),
 			{
 				Name: "version", ShortUsage: "samphirebeam-edge version", ShortHelp: "print the version",
@@ -82,7 +85,7 @@
 	}
 }
 
-func run(ctx context.Context, settings edge.Settings) error {
+func run(ctx context.Context, settings edge.Settings, options []edge.Option) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -93,7 +96,7 @@
 	}
 	debug.SetGCPercent(settings.GarbagePercent)
 	debug.SetMemoryLimit(int64(math.Round(heapFraction * float64(platformSettings.MemoryBytes))))
-	host, err := edge.New(settings, platformSettings, os.Stdout)
+	host, err := edge.New(settings, platformSettings, os.Stdout, options...)
 	if err != nil {
 		return err
 	}
--- a/edge/conn_pool.go
+++ b/edge/conn_pool.go
@@ -230,7 +230,7 @@
 func (c *conn) abort() { abort(c.raw) }
 
 func abort(raw net.Conn) {
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	if tcp, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // the connection ends either way
 	}
 	_ = raw.Close()
--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -22,7 +22,9 @@
 	const most = 24 << 20 // bytes that may be read of one answer
 	cluster := newTwoShardCluster(t)
 	// Socket buffers would grow to tens of MB, and what lies in them counts as read.
-	cluster.prepareHost = func(h *Host) { h.sender.dialer.Control = setReceiveBuffer }
+	cluster.prepareHost = func(h *Host) {
+		h.sender.dial = (&net.Dialer{KeepAlive: -1, Control: setReceiveBuffer}).DialContext
+	}
 	h := cluster.startHost("host-1", 1)
 	endless := cluster.servers["a1"]
 	sequence := 0
--- a/edge/host.go
+++ b/edge/host.go
@@ -75,8 +75,15 @@
 	callerListener, readinessListener, peerListener, metricsListener net.Listener
 }
 
+// Option changes how a host is built.
+type Option func(*Host)
+
+// WithUpstreamDialer makes the host open its connections to upstreams by dial. The
+// connections have to implement syscall.Conn, and SetLinger as a net.TCPConn does.
+func WithUpstreamDialer(dial DialFunc) Option { return func(h *Host) { h.sender.dial = dial } }
+
 // New opens the host's listeners and creates its workers, which Run starts.
-func New(settings Settings, platformSettings platform.HostSettings, out io.Writer) (*Host, error) {
+func New(settings Settings, platformSettings platform.HostSettings, out io.Writer, options ...Option) (*Host, error) {
 	level, err := zerolog.ParseLevel(settings.LogLevel)
 	if err != nil {
 		return nil, eris.Wrap(err, "log level")
@@ -114,6 +121,9 @@
 	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.log, h.panics)
 	h.peerServer = newPeerServer(h)
 	h.decision = &decisionLoop{core: h.newCore(), inbox: h.inbox, execute: h.execute, replaceCore: h.replaceCore}
+	for _, option := range options {
+		option(h)
+	}
 	if err := h.listen(); err != nil {
 		h.closeListeners()
 		return nil, err
--- a/edge/partition_test.go
+++ b/edge/partition_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -46,11 +48,12 @@
 		if h.platformSettings.Host != "host-1" {
 			return
 		}
-		h.sender.dialer.Control = func(string, string, syscall.RawConn) error {
+		dial := h.sender.dial
+		h.sender.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			if cut.Load() {
-				return syscall.ECONNREFUSED
+				return nil, syscall.ECONNREFUSED
 			}
-			return nil
+			return dial(ctx, network, address)
 		}
 	}
 	first, second := cluster.startHostIn("d1", "host-1", 1), cluster.startHostIn("d2", "host-2", 1)
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -15,12 +15,15 @@
 // whole body.
 const largeBodyBytes = 4 << 10
 
+// DialFunc opens a connection, like the DialContext method of a net.Dialer.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // sender sends requests to upstreams. Each attempt runs on a goroutine of its
 // own; the core bounds their number.
 type sender struct {
 	report  func(scatter.Event)
 	pool    *connPool
-	dialer  net.Dialer
+	dial    DialFunc
 	memory  *platform.Memory // bounds the bodies of answers
 	notices noticeStore
 	panics  *panicHandler
@@ -43,7 +46,7 @@
 		notices: newNoticeStore(),
 		panics:  p,
 		pool:    newConnPool(),
-		dialer:  net.Dialer{KeepAlive: -1},
+		dial:    (&net.Dialer{KeepAlive: -1}).DialContext,
 		running: map[uint64]*attemptState{},
 	}
 }
@@ -193,7 +196,7 @@
 	s.mu.Lock()
 	state.cancel = cancel
 	s.mu.Unlock()
-	raw, err := s.dialer.DialContext(ctx, "tcp", send.Target.Address)
+	raw, err := s.dial(ctx, "tcp", send.Target.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -30,7 +30,7 @@
 func (s *sender) check(target scatter.Upstream) scatter.CheckResult {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	raw, err := s.dialer.DialContext(ctx, "tcp", target.Address)
+	raw, err := s.dial(ctx, "tcp", target.Address)
 	switch {
 	case err == nil:
 		_ = raw.Close()
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -17,7 +17,8 @@
 
 // checker records what callers observe and which guarantees are violated.
 type checker struct {
-	fleet *fleet
+	fleet  *fleet
+	probes int // sent so far
 
 	mu         sync.Mutex
 	violations []string
@@ -137,9 +138,7 @@
 func (c *checker) order(client *http.Client, h *host, id string) {
 	status, header, body := sendRequest(client, h, http.MethodPost, "/order/x", id, "one "+id)
 	c.count("order", status)
-	c.mu.Lock()
-	c.orders[id] = status
-	c.mu.Unlock()
+	c.recordOrder(id, status)
 	if status != http.StatusOK {
 		return
 	}
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -91,6 +91,7 @@
 // host is one samphirebeam-edge process.
 type host struct {
 	name, settings   string
+	cutFile          string // see the command faultyedge
 	callers, control string
 	readiness        string
 	store            *proxy
@@ -229,7 +230,7 @@
 	if i%2 == 1 {
 		cpuShare = 0.2
 	}
-	h.settings = filepath.Join(f.folder, h.name+".conf")
+	h.settings, h.cutFile = filepath.Join(f.folder, h.name+".conf"), filepath.Join(f.folder, h.name+".cut")
 	lines := []string{
 		"node_name=" + h.name, "zone=" + domain, "ip=" + ip, "listen_addrs.front=" + h.callers,
 		"listen_addrs.ready=" + h.readiness, "listen_addrs.control=" + h.control, "internal_port_range=1,2",
@@ -273,7 +274,7 @@
 		return eris.Wrap(err, "settings")
 	}
 	cmd := exec.Command(program, "run", "-config", config)
-	cmd.Env = append(os.Environ(), "SAMPHIREBEAM_BOOT="+h.settings)
+	cmd.Env = append(os.Environ(), "SAMPHIREBEAM_BOOT="+h.settings, "SOAK_CUT="+h.cutFile)
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	if err := cmd.Start(); err != nil {
 		return eris.Wrap(err, "start "+h.name)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -87,6 +87,8 @@
 	before := f.crashCount()
 	j.restoreAfterChanges()
 	c.checkRecovery()
+	j.checkPartition()
+	c.checkRecovery()
 	if later := f.crashCount() - before; before > 0 && later > maxCrashesAfterRestart {
 		c.violated("%d servers crashed under one request, and %d more after all hosts were killed", before, later)
 	}
@@ -145,7 +147,9 @@
 // services states a rate limit, so the host may refuse the request once, or once leave out
 // the part of a limited shard. It must serve it whole after the wait that it offers.
 func (c *checker) probe(h *host, method, path string, served func(int, http.Header) bool) (status int, header http.Header) {
-	status, header = c.sendProbe(h, method, path, "probe-"+method+"-"+h.name)
+	c.probes++
+	id := fmt.Sprint("probe-", c.probes)
+	status, header = c.sendProbe(h, method, path, id)
 	switch {
 	case served(status, header):
 		return status, header
@@ -158,7 +162,7 @@
 	case status != http.StatusOK || !c.lacksOnlyLimitedParts(header):
 		return status, header
 	}
-	return c.sendProbe(h, method, path, "probe-again-"+method+"-"+h.name)
+	return c.sendProbe(h, method, path, id+"-again")
 }
 
 // lacksOnlyLimitedParts reports whether the answer to a gather has the parts of all
@@ -185,13 +189,17 @@
 	}
 	status, header, _ = sendRequest(newProbeClient(), h, method, path, id, body)
 	if method == http.MethodPost {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.orders[id] = status
+		c.recordOrder(id, status)
 	}
 	return status, header
 }
 
+func (c *checker) recordOrder(id string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders[id] = status
+}
+
 // faultInjector starts random faults, which may overlap. Each ends after a
 // random time.
 type faultInjector struct {
@@ -207,6 +215,7 @@
 func (j *faultInjector) run(d time.Duration) {
 	faults := []func() (what string, end func()){
 		j.stopHost, j.killHost, j.pauseHost, j.storeFault, j.storeLink, j.serverFault, j.serverLink, j.drainServer, j.changeConfiguration,
+		j.cutHosts,
 	}
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(j.random.Float64() * 2 * float64(meanFaultInterval)))
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -17,8 +17,8 @@
 }
 
 func TestSeeds(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "samphirebeam-edge")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/samphirebeam-edge").CombinedOutput(); err != nil {
+	program := filepath.Join(t.TempDir(), "faultyedge")
+	if out, err := exec.Command("go", "build", "-o", program, "./faultyedge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for seed, cause := range seeds {
