Notice sooner that no upstream answers

Callers of short requests wait for 300 ms, and the cut was noticed after 0.6 to 0.9 s. Cause: attempts counted as unanswered after 250 ms, the length of upstreams' pauses, also when nothing at all was heard. Fix: while no upstream answers, overdue attempts count after 100 ms. Test: TestSilentPartitionIsNoticedEarly.

--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -18,9 +18,11 @@
 	failureTTL = 3 * time.Second
 	// stallScanInterval is the time between two scans for direct attempts that are
 	// not answered, unansweredAfter how long an attempt must have run to count. It
-	// is longer than the usual pauses of upstreams.
-	stallScanInterval = 100 * time.Millisecond
+	// is longer than the usual pauses of upstreams. While no upstream answers,
+	// attempts count after silentAfter.
+	stallScanInterval = 50 * time.Millisecond
 	unansweredAfter   = 250 * time.Millisecond
+	silentAfter       = 100 * time.Millisecond
 	// roundTimeout is when a round without all results ends. It decides nothing,
 	// since this process did not run meanwhile or is overloaded.
 	roundTimeout = 2 * time.Second
@@ -129,7 +131,11 @@
 				continue
 			}
 			running = true
-			if now.Sub(a.sentAt) >= unansweredAfter && now.After(a.overdueAt) {
+			limit := unansweredAfter
+			if now.Sub(c.answeredAt) >= silentAfter {
+				limit = silentAfter
+			}
+			if now.Sub(a.sentAt) >= limit && now.After(a.overdueAt) {
 				c.failing[a.to] = now
 			}
 		}
@@ -329,7 +335,7 @@
 // expectedParts counts the parts of a call that have been answered or can still be:
 // their attempts are relayed, or sent over a connection that may work.
 func (e *Engine) expectedParts(now time.Time, c *call) (count int) {
-	silent := now.Sub(e.connectivity.answeredAt) > unansweredAfter
+	silent := now.Sub(e.connectivity.answeredAt) >= silentAfter
 	for _, p := range c.parts {
 		running := func(a *attempt) bool {
 			return e.attempts[a.id] != nil && (a.via != nil || !silent && now.Sub(a.sentAt) < unansweredAfter)
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -605,3 +605,21 @@
 		t.Errorf("%d failed attempts", sends)
 	}
 }
+
+// TestSilentPartitionIsNoticedEarly: a host that gets no answer at all has checked its
+// links before the callers of short requests have given up.
+func TestSilentPartitionIsNoticedEarly(t *testing.T) {
+	const noticedWithin = 150 * ms
+	r := newRig(t)
+	r.configure(1, 10)
+	r.warmUp(gatherPath, 10*ms)
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) { return s.Deadline.Sub(r.now), scatter.Lost }
+	r.refuses = func(core.UpstreamID) bool { return true }
+	for range 15 {
+		r.ask(gatherPath)
+		r.run(10 * ms)
+	}
+	if !r.engine.Partitioned() {
+		t.Errorf("not noticed within %v", noticedWithin)
+	}
+}
