samphirebeamd: owners that reach no upstream keep their shares; known red

An owner renews its leases whether or not it reaches the upstreams; with 5 of 8 hosts cut off from them no query is answered whole, as both owners of some service are among them nearly always. With 1 of 8 the other upstream of each service, which another host owns, carries all. Not mended here: a member of the lease table can leave for good (a planned stop), not for a while.

--- a/core/host/fault_test.go
+++ b/core/host/fault_test.go
@@ -338,3 +338,27 @@
 		t.Errorf("the resend %d was answered %v, not run, after a run", call, core.Kind(reply.GetKind()))
 	}
 }
+
+// TestOwnersThatReachNoUpstreamKeepTheirShares: hosts that lose their links to all
+// upstreams, but reach the other hosts and the platform, must leave their shares to
+// hosts that reach the upstreams (incident RECOVER, for samphirebeamd).
+func TestOwnersThatReachNoUpstreamKeepTheirShares(t *testing.T) {
+	const servedShare = 2.0 / 3
+	for _, hosts := range []int{1, 5} {
+		f := newConfiguredFleet(t, 8)
+		f.startLoad(1, warmUp)
+		f.run(warmUp)
+		f.partitioned = map[core.HostID]bool{}
+		for _, name := range f.names[:hosts] {
+			f.partitioned[name] = true
+		}
+		f.run(4 * time.Second)
+		first := core.CallID(1 + warmUp/queryInterval)
+		last := f.startLoad(first, 10*time.Second)
+		f.run(12 * time.Second)
+		whole, notWhole, unanswered := f.countAnswers(t, first, last)
+		if float64(whole) < servedShare*float64(last-first) {
+			t.Errorf("%d of 8 hosts: %d whole answers, %d not whole, %d calls unanswered", hosts, whole, notWhole, unanswered)
+		}
+	}
+}
--- a/core/host/fleet_test.go
+++ b/core/host/fleet_test.go
@@ -40,7 +40,8 @@
 	requests      int
 	// extraCancelLag is added to cancelLag.
 	extraCancelLag time.Duration
-	runs           map[string]int // runs of plain calls by question
+	partitioned    map[core.HostID]bool // hosts that reach no upstream
+	runs           map[string]int       // runs of plain calls by question
 	answers        map[core.CallID]*peerpb.QueryReply
 	answered       map[core.CallID]int
 	stopped        map[core.HostID]bool
@@ -228,6 +229,10 @@
 }
 
 func (f *fleet) dispatch(from core.HostID, d core.Dispatch) {
+	if f.partitioned[from] {
+		f.failAttempt(from, d.Upstream.ID, d.Attempt)
+		return
+	}
 	s := f.server(d.Upstream)
 	if !s.budget.Allow(f.now, s.running) {
 		f.coldOverloads++
