--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -67,12 +67,12 @@
 	}
 }
 
-// interrupted returns what becomes of an attempt in flight when its host is cut off.
-func (s *tier) interrupted(kind cutKind, send scatter.Send) (time.Duration, scatter.Outcome) {
+// lostAfter returns when an attempt in flight is lost after its host was cut off.
+func (s *tier) lostAfter(kind cutKind, send scatter.Send) time.Duration {
 	if kind == hangs {
-		return max(0, send.Deadline.Sub(s.now)), scatter.Lost
+		return max(0, send.Deadline.Sub(s.now))
 	}
-	return 0, scatter.Lost
+	return 0
 }
 
 // check returns how a check of an upstream by a host ends.
--- a/core/scatter/tier_test.go
+++ b/core/scatter/tier_test.go
@@ -240,7 +240,8 @@
 			s.step(engine, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome, Payload: "part", Notice: notice})
 		}
 	}
-	if relay := s.engineOf(send.Via.ID); relay != nil && relay.Partitioned() && !(relay.OpenConnectionsMayWork() && s.open[simLink{sender, send.Target.ID}]) {
+	link := simLink{sender, send.Target.ID}
+	if relay := s.engineOf(send.Via.ID); relay != nil && relay.Partitioned() && (!relay.OpenConnectionsMayWork() || !s.open[link]) {
 		declined := scatter.AttemptEnded{Attempt: send.Attempt, Outcome: scatter.NotRelayed, RelayFault: !relay.OpenConnectionsMayWork()}
 		s.later.Add(s.now.Add(2*simNetwork), func() {
 			if s.engines[engine] == e {
@@ -250,9 +251,8 @@
 		return
 	}
 	kind := s.cuts[sender]
-	link := simLink{sender, send.Target.ID}
 	s.links[simAttempt{engine, send.Attempt}] = link
-	if kind != noCut && !(kind == spares && s.open[link]) {
+	if kind != noCut && (kind != spares || !s.open[link]) {
 		after, outcome := s.cutSend(kind, sender, send)
 		if send.Via.ID != "" {
 			outcome = outcome.AsRelayed()
@@ -265,8 +265,7 @@
 	s.open[link] = true
 	s.later.Add(s.now.Add(after), func() {
 		if kind := s.cuts[sender]; kind != noCut && kind != spares && s.cutAt[sender].After(sentAt) {
-			after, outcome := s.interrupted(kind, send)
-			s.later.Add(s.now.Add(after), func() { end(outcome, scatter.Notice{}) })
+			s.later.Add(s.now.Add(s.lostAfter(kind, send)), func() { end(scatter.Lost, scatter.Notice{}) })
 			return
 		}
 		if s.random.Float64() < s.closeShare {
@@ -388,7 +387,7 @@
 		result.asked++
 		if s.counting {
 			call.tries = &s.otherTries
-			if kind := s.cuts[s.hosts[engine].ID]; kind != noCut && !(s.countSpared && kind == spares) {
+			if kind := s.cuts[s.hosts[engine].ID]; kind != noCut && (!s.countSpared || kind != spares) {
 				call.tries = &s.cutTries
 			}
 			call.tries.asked++
