A partition ends while many upstreams are down

Found in review. A partitioned host had to open two of three connections, twice in a row, to serve itself again. With most upstreams crashed at the same time that takes long: by chance with four in five down. Fix: one open connection in a round shows the way, as one round without any shows that there is none; the next round checks that upstream again beside four others. Test: TestPartitionEndsWhileManyUpstreamsAreDown, still partitioned after 3 s before. A request returned at a planned stop is no longer logged as one for lack of upstreams.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if !e.mayTryUpstreams(now, route) {
-		e.refuseUnrouted(now, a, "this host does not reach the upstreams, and no other host accepts the request")
+		e.refuseUnrouted(now, a, unreachableUpstreams+", and no other host accepts the request")
 		return
 	}
 	c := e.newCall(a, route)
@@ -433,7 +433,7 @@
 	case c.failure != nil && !c.route.IsGather():
 		e.stats.Answered++
 		e.finish(now, c, Answer{Call: c.id, Kind: PassedOn, Payload: c.failure}, "the upstream's failure")
-	case e.connectivity.partitioned && e.moveCall(now, c):
+	case e.connectivity.partitioned && e.moveCall(now, c, unreachableUpstreams):
 	case c.mayHaveRun():
 		e.stats.Failed++
 		e.finish(now, c, Answer{Call: c.id, Kind: UpstreamsFailed}, "no upstream is left to ask")
--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -26,10 +26,8 @@
 	// roundTimeout is when a round without all results ends. It decides nothing,
 	// since this process did not run meanwhile or is overloaded.
 	roundTimeout = 2 * time.Second
-	// connectivityChecks is how many upstreams a round checks, recoveryChecks how
-	// many while this host is partitioned.
+	// connectivityChecks is how many upstreams a round checks.
 	connectivityChecks = 5
-	recoveryChecks     = 3
 	// checkRoundInterval is the least time between the starts of two rounds,
 	// recoveryInterval the time between two rounds while this host is partitioned.
 	// recoveredAfterRounds is how many of those in a row have to succeed.
@@ -43,6 +41,10 @@
 	openConnectionTTL    = time.Second
 )
 
+// unreachableUpstreams is logged as the reason why a partitioned host does not answer a
+// request itself.
+const unreachableUpstreams = "this host does not reach the upstreams"
+
 // connectivity tracks whether this host can reach the upstreams.
 //
 // A host that has lost its own links fails all requests, and takes upstreams that
@@ -65,6 +67,7 @@
 	rounds          uint64
 	roundAt         time.Time
 	succeededRounds int
+	lastOpened      UpstreamStart // to which a check last opened a connection
 	// refusals are the refused connections that are held to be crashes only after a
 	// later round has succeeded.
 	refusals []refusal
@@ -210,22 +213,21 @@
 }
 
 // startCheckRound starts to open connections to several upstreams, preferably to
-// those that have not failed.
+// those that have not failed. While this host is partitioned, they include the one to
+// which the last connection was opened.
 func (e *Engine) startCheckRound(now time.Time) {
 	c := &e.connectivity
-	checks := connectivityChecks
-	if c.partitioned {
-		checks = recoveryChecks
-	}
 	targets := e.directory.sorted()
 	for i := range targets { // a random order
 		other := i + int(e.options.Random()*float64(len(targets)-i))
 		targets[i], targets[other] = targets[other], targets[i]
 	}
-	if !c.partitioned {
-		slices.SortStableFunc(targets, func(a, b *upstream) int { return compareBool(c.isFailing(a), c.isFailing(b)) })
+	skip := func(u *upstream) bool { return c.isFailing(u) }
+	if c.partitioned {
+		skip = func(u *upstream) bool { return u.Start() != c.lastOpened }
 	}
-	targets = targets[:min(len(targets), checks)]
+	slices.SortStableFunc(targets, func(a, b *upstream) int { return compareBool(skip(a), skip(b)) })
+	targets = targets[:min(len(targets), connectivityChecks)]
 	c.rounds++
 	c.roundAt = now
 	c.round = &checkRound{id: c.rounds, checks: len(targets), missing: len(targets)}
@@ -266,6 +268,7 @@
 	switch checked.Result {
 	case UpstreamListens:
 		c.round.opened++
+		c.lastOpened = checked.Upstream
 	case UpstreamRefuses:
 		c.round.refused++
 	case CheckFailed:
@@ -277,7 +280,7 @@
 
 // endCheckRound decides by a round of checks whether this host is partitioned. It
 // is so from a round in which no connection was opened until several rounds in a
-// row in which most were. An incomplete round decides nothing.
+// row in which one was. An incomplete round decides nothing.
 func (e *Engine) endCheckRound(now time.Time, complete bool) {
 	c := &e.connectivity
 	round := c.round
@@ -289,7 +292,7 @@
 	case !complete:
 	case !c.partitioned && round.opened == 0 && round.checks >= minFailingUpstreams:
 		e.enterPartition(now, round)
-	case c.partitioned && 2*round.opened > round.checks:
+	case c.partitioned && round.opened > 0:
 		if c.succeededRounds++; c.succeededRounds >= recoveredAfterRounds {
 			e.leavePartition(now)
 		}
@@ -327,7 +330,7 @@
 	e.directory.replaced = true
 	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
 		if call := e.calls[id]; e.expectedParts(now, call) < call.minParts() {
-			e.moveCall(now, call)
+			e.moveCall(now, call, unreachableUpstreams)
 		}
 	}
 }
@@ -349,8 +352,7 @@
 
 // moveCall has another host answer a call that this host cannot answer any more. It
 // returns false if there is none, or if the call must not run once more.
-func (e *Engine) moveCall(now time.Time, c *call) bool {
-	const why = "this host does not reach the upstreams"
+func (e *Engine) moveCall(now time.Time, c *call, why string) bool {
 	ran := c.mayHaveRun()
 	if c.request.returned || ran && !e.mayRunOnceMore(c) {
 		return false
@@ -362,7 +364,7 @@
 		}
 		e.cancelSilentAttempts(c)
 		c.queued = false // its end says nothing about queues
-		e.finish(now, c, Answer{Call: c.id, Kind: kind, Partitioned: true}, why)
+		e.finish(now, c, Answer{Call: c.id, Kind: kind, Partitioned: e.connectivity.partitioned}, why)
 		return true
 	}
 	h := &handover{request: c.request, tried: map[core.HostID]bool{}, deadline: c.deadline, repeated: ran}
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -623,3 +623,23 @@
 		t.Errorf("not noticed within %v", noticedWithin)
 	}
 }
+
+// TestPartitionEndsWhileManyUpstreamsAreDown: a host serves again soon after it reaches
+// the upstreams, although most of them have crashed meanwhile.
+func TestPartitionEndsWhileManyUpstreamsAreDown(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 10)
+	r.warmUp(gatherPath, 10*ms)
+	r.cutOff(true)
+	r.ask(gatherPath)
+	r.run(2 * time.Second)
+	if !r.engine.Partitioned() {
+		t.Fatal("not partitioned")
+	}
+	r.cutOff(false)
+	r.refuses = func(id core.UpstreamID) bool { return id[len(id)-1] == 'a' || id < "shard05" }
+	r.run(3 * time.Second)
+	if r.engine.Partitioned() {
+		t.Error("still partitioned, though upstreams can be reached")
+	}
+}
--- a/core/scatter/stop.go
+++ b/core/scatter/stop.go
@@ -25,7 +25,7 @@
 // answerAll gives all open requests their final answer.
 func (e *Engine) answerAll(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
-		if c := e.calls[id]; !c.request.FromHost || !e.moveCall(now, c) {
+		if c := e.calls[id]; !c.request.FromHost || !e.moveCall(now, c, "this host stops") {
 			e.timeOut(now, c)
 		}
 	}
