A host of an isolated failure domain is not partitioned

Found in review. A failure domain that is cut off from the others still reaches its own upstreams. The five checks were drawn from all upstreams, so that a host there took itself for partitioned in one round of four with four domains, and refused what its own upstreams serve. Fix: two of the five checks are in the host's own failure domain. Test: TestIsolatedDomainIsNoPartition, partitioned before.

--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -26,8 +27,10 @@
 	// roundTimeout is when a round without all results ends. It decides nothing,
 	// since this process did not run meanwhile or is overloaded.
 	roundTimeout = 2 * time.Second
-	// connectivityChecks is how many upstreams a round checks.
+	// connectivityChecks is how many upstreams a round checks, localChecks how many of
+	// them are in this host's own failure domain.
 	connectivityChecks = 5
+	localChecks        = 2
 	// checkRoundInterval is the least time between the starts of two rounds,
 	// recoveryInterval the time between two rounds while this host is partitioned.
 	// recoveredAfterRounds is how many of those in a row have to succeed.
@@ -212,22 +215,10 @@
 	}
 }
 
-// startCheckRound starts to open connections to several upstreams, preferably to
-// those that have not failed. While this host is partitioned, they include the one to
-// which the last connection was opened.
+// startCheckRound starts to open connections to several upstreams.
 func (e *Engine) startCheckRound(now time.Time) {
 	c := &e.connectivity
-	targets := e.directory.sorted()
-	for i := range targets { // a random order
-		other := i + int(e.options.Random()*float64(len(targets)-i))
-		targets[i], targets[other] = targets[other], targets[i]
-	}
-	skip := func(u *upstream) bool { return c.isFailing(u) }
-	if c.partitioned {
-		skip = func(u *upstream) bool { return u.Start() != c.lastOpened }
-	}
-	slices.SortStableFunc(targets, func(a, b *upstream) int { return compareBool(skip(a), skip(b)) })
-	targets = targets[:min(len(targets), connectivityChecks)]
+	targets := e.pickChecks()
 	c.rounds++
 	c.roundAt = now
 	c.round = &checkRound{id: c.rounds, checks: len(targets), missing: len(targets)}
@@ -242,20 +233,36 @@
 	})
 }
 
-func (c *connectivity) isFailing(u *upstream) bool {
-	_, failing := c.failing[u]
-	return failing
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
+// pickChecks returns upstreams at random: localChecks of this host's own failure
+// domain, which it reaches while its domain is cut off from others, and further ones of
+// all domains, each time preferably those that have not failed. While this host is
+// partitioned, they include the one to which the last connection was opened.
+func (e *Engine) pickChecks() []*upstream {
+	c := &e.connectivity
+	all := e.directory.sorted()
+	order := make(map[*upstream]float64, len(all))
+	for _, u := range all {
+		order[u] = e.options.Random()
+		switch {
+		case c.partitioned && u.Start() == c.lastOpened:
+			order[u]--
+		case !c.partitioned && !c.failing[u].IsZero():
+			order[u]++
+		}
+	}
+	slices.SortFunc(all, func(a, b *upstream) int { return cmp.Compare(order[a], order[b]) })
+	var targets []*upstream
+	for _, u := range all {
+		if u.Domain == e.fleet.domain && len(targets) < localChecks {
+			targets = append(targets, u)
+		}
+	}
+	for _, u := range all {
+		if len(targets) < connectivityChecks && !slices.Contains(targets, u) {
+			targets = append(targets, u)
+		}
 	}
+	return targets
 }
 
 // handleConnectivityCheck processes the result of one check of a round.
--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -643,3 +643,39 @@
 		t.Error("still partitioned, though upstreams can be reached")
 	}
 }
+
+// TestIsolatedDomainIsNoPartition: a host that still reaches the upstreams of its own
+// failure domain, as when the domain is cut off from the others, is not partitioned.
+func TestIsolatedDomainIsNoPartition(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 20)
+	var entries []scatter.Upstream
+	for i := range 100 { // most upstreams are in other domains
+		u := pair(core.ServiceID(fmt.Sprintf("other%02d", i)))[1]
+		entries = append(entries, u)
+		r.step(scatter.UpstreamSeen{Upstream: u})
+	}
+	near := func(id core.UpstreamID) bool { return id[len(id)-1] == 'a' }
+	r.warmUp(gatherPath, 10*ms)
+	for i := range 5 {
+		r.step(scatter.UpstreamRemoved{ID: core.UpstreamID(fmt.Sprintf("shard%02d-a", i))})
+		r.run(time.Second)
+	}
+	r.refuses = func(id core.UpstreamID) bool { return !near(id) }
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if near(s.Target.ID) {
+			return 10 * ms, scatter.Succeeded
+		}
+		return ms, scatter.Unreached
+	}
+	for range 300 {
+		r.ask(gatherPath)
+		r.run(20 * ms)
+		if r.engine.Partitioned() {
+			t.Fatalf("partitioned, though upstreams of the own domain answer, and %d others do not", len(entries))
+		}
+	}
+	if r.connectivityChecks == 0 {
+		t.Error("no upstream failed: the test checks nothing")
+	}
+}
