--- a/core/scatter/partition_test.go
+++ b/core/scatter/partition_test.go
@@ -204,6 +204,7 @@
 // TestPartitionedRelayDiscreditsNoUpstream: parts that a relay cannot send are sent
 // directly, and their upstreams are not taken for failed ones.
 func TestPartitionedRelayDiscreditsNoUpstream(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []cutKind{hangs, resets, refuses, spares} {
 		s := newTier(8, 10, simSweep, simQuick)
 		s.enableRelay()
@@ -400,6 +401,7 @@
 // refused to all hosts, most requests are served over those that are open, which
 // belong to the hosts that relay for each other.
 func TestOpenConnectionsServeWhenAllHostsArePartitioned(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		s := newTier(8, 10, simSweep, simQuick)
 		s.random = rand.New(rand.NewPCG(seed, 3))
@@ -435,6 +437,7 @@
 // TestOthersGatherForPartitionedGatherers: when all gatherers and standbys are cut
 // off, other hosts take their place, and give it up when these have returned.
 func TestOthersGatherForPartitionedGatherers(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{30, 195} {
 		s := newTier(hosts, 10, simSweep, simQuick)
 		s.enableRelay()
@@ -461,6 +464,7 @@
 // more than it bears together. It is used although the hosts that send to it at
 // other times are cut off.
 func TestColdRateHoldsWhileHostsArePartitioned(t *testing.T) {
+	t.Parallel()
 	const (
 		overshoot     = 1.5
 		slack         = 5
@@ -566,6 +570,7 @@
 // TestHostsWithOpenConnectionsServeOthers: when all hosts are partitioned, those whose
 // connections are still open also serve the callers of those that have none.
 func TestHostsWithOpenConnectionsServeOthers(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []cutKind{hangs, resets} {
 		s := newTier(8, 10, simSweep, simQuick)
 		s.enableRelay()
@@ -584,6 +589,7 @@
 // TestSilentUpstreamsAreNotTried: a host whose connections hang, and that no other
 // host relieves, refuses all requests at once and holds none until its deadline.
 func TestSilentUpstreamsAreNotTried(t *testing.T) {
+	t.Parallel()
 	s := newTier(8, 10, simSweep, simQuick)
 	s.enableRelay()
 	s.offer(60, 2*time.Second, simMix...)
