--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -375,14 +375,14 @@
 }
 
 func (e *Engine) setHosts(now time.Time, hosts []Host) {
-	listedBefore, roleBefore, outBefore := len(e.fleet.ranked) > 0, e.fleet.role, e.fleet.registeredAsPartitioned()
+	listedBefore, roleBefore, outBefore := len(e.fleet.ranked) > 0, e.fleet.role, e.fleet.selfPartitioned
 	if !e.fleet.set(hosts) {
 		return
 	}
 	if listedBefore && roleBefore != e.fleet.role {
 		e.changeRole(now, roleBefore)
 	}
-	out := e.fleet.registeredAsPartitioned()
+	out := e.fleet.selfPartitioned
 	if outBefore && !out {
 		e.directory.coldHoldUntil = now.Add(rankSettleTime)
 	}
@@ -415,7 +415,7 @@
 // RegistrationOutdated reports whether this host has to register again, since its
 // record does not tell whether it reaches the upstreams.
 func (e *Engine) RegistrationOutdated() bool {
-	return e.fleet.indexOf(e.fleet.self) >= 0 && e.fleet.registeredAsPartitioned() != e.connectivity.partitioned
+	return e.fleet.selfRegistered && e.fleet.selfPartitioned != e.connectivity.partitioned
 }
 
 // changeRole applies a change of this host's role. A host that becomes a gatherer
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -258,7 +258,7 @@
 // Active reports whether this host must follow the configuration and the list of
 // upstreams. A partitioned host does, so that it can gather again at once.
 func (e *Engine) Active(now time.Time) bool {
-	return e.fleet.role != Entry || now.Before(e.aloneUntil) || len(e.fleet.peers) == 0 || e.fleet.registeredAsPartitioned()
+	return e.fleet.role != Entry || now.Before(e.aloneUntil) || len(e.fleet.peers) == 0 || e.fleet.selfPartitioned
 }
 
 // pickPeer returns the host with the lowest cost for a handover, or nil. It prefers
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -124,8 +124,11 @@
 	// over to if all did.
 	registered []Host
 	minTargets int
-	role       Role
-	peers      map[core.HostID]*peer
+	// selfRegistered is whether this host has a record, selfPartitioned whether that
+	// says that it reaches no upstreams.
+	selfRegistered, selfPartitioned bool
+	role                            Role
+	peers                           map[core.HostID]*peer
 	// gatherersIn counts the gatherers by failure domain.
 	gatherersIn map[core.DomainID]int
 	// followed is true if other hosts follow this one.
@@ -148,6 +151,9 @@
 	}
 	f.ranked, f.strongHosts = ranked, strongHosts
 	f.setRegistered(hosts)
+	at := f.indexOf(f.self)
+	f.selfRegistered = at >= 0
+	f.selfPartitioned = at >= 0 && ranked[at].Partitioned
 	f.role = f.roleOf(f.self)
 	peers := map[core.HostID]*peer{}
 	for _, h := range f.handoverTargets() {
@@ -193,13 +199,6 @@
 	return count
 }
 
-// registeredAsPartitioned reports whether this host is registered as one that
-// reaches no upstreams.
-func (f *fleet) registeredAsPartitioned() bool {
-	at := f.indexOf(f.self)
-	return at >= 0 && f.ranked[at].Partitioned
-}
-
 // roleOf returns a host's role. A host that is not in the list is a gatherer, so
 // that it can answer its own callers.
 func (f *fleet) roleOf(id core.HostID) Role {
