--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/samphirebeam-edge ] && [ -x target/review/deadly ] || { echo "run the build of deploy/system.toml and review/build.sh first" >&2; exit 2; }
-exec target/review/deadly review/2/record.txt
+exec target/review/deadly review/2/record.txt leave
--- a/review/standins/deadly/main.go
+++ b/review/standins/deadly/main.go
@@ -1,5 +1,6 @@
 // Command deadly has one caller send a request that crashes each server that runs it,
-// again and again. The caller leaves before the server crashes.
+// again and again. In the trouble "leave" the caller leaves before the server crashes,
+// in the trouble "dark" it stays, and the machine of the server goes dark with it.
 package main
 
 import (
@@ -8,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -16,14 +18,17 @@
 )
 
 const (
-	// perSecond is how many sound requests are sent a second, playTime how long.
+	// perSecond is how many sound requests are sent a second, until playAfter has
+	// passed since the last deadly one.
 	perSecond = 40
-	playTime  = 20 * time.Second
-	// The caller of the deadly request sends it every deadlyInterval for deadlyFor,
-	// first at deadlyFrom, and leaves after patience.
+	playAfter = 7 * time.Second
+	// The caller of the deadly request sends it every deadlyInterval, or when it has
+	// the answer to the one before, first at deadlyFrom. It does so for leaveFor if it
+	// leaves after patience, and for darkFor if it stays.
 	deadlyFrom     = 5 * time.Second
-	deadlyFor      = 8 * time.Second
-	deadlyInterval = 500 * time.Millisecond
+	leaveFor       = 8 * time.Second
+	darkFor        = 25 * time.Second
+	deadlyInterval = 400 * time.Millisecond
 	patience       = 100 * time.Millisecond
 	// A server crashes crashAfter the beginning of the deadly request's run, and is
 	// back downFor later. Its entry lapses after three heartbeats.
@@ -48,6 +53,22 @@
 
 func main() { lab.Main(run) }
 
+// named reports whether the command line names a trouble.
+func named(name string) bool { return len(os.Args) > 2 && os.Args[2] == name }
+
+// deadlyFor returns how long the deadly request is sent.
+func deadlyFor() time.Duration {
+	if named("dark") {
+		return darkFor
+	}
+	return leaveFor
+}
+
+// trouble reports whether a trouble is to be played.
+func trouble(name string) bool {
+	return lab.Trouble() && named(name)
+}
+
 func run(l *lab.Lab) (broken bool, err error) {
 	seen := &runs{}
 	if err := startServers(l, seen); err != nil {
@@ -75,9 +96,10 @@
 			Work: 160 * time.Millisecond, Body: []byte("an order"), Born: time.Now(),
 		}
 		boot := 1
+		s.Deadly = isDeadly
 		s.OnRun = func(s *lab.Server, id string) {
 			l.Record("%s runs %s", s.Name(), id)
-			if !strings.HasPrefix(id, "deadly") {
+			if !isDeadly(id) {
 				return
 			}
 			seen.mu.Lock()
@@ -98,9 +120,21 @@
 	return nil
 }
 
+// isDeadly reports whether a request crashes the server that runs it.
+func isDeadly(id string) bool { return strings.HasPrefix(id, "deadly") }
+
 // crash crashes a server, which comes back as a new boot with a new ID.
 func crash(l *lab.Lab, seen *runs, s *lab.Server, next string) {
-	s.Crash()
+	back := s.Listen
+	if trouble("dark") {
+		var err error
+		if back, err = s.GoDark(); err != nil {
+			l.Record("%s doesn't go dark: %v", s.Name(), err)
+			return
+		}
+	} else {
+		s.Crash()
+	}
 	l.Record("%s crashes", s.Name())
 	seen.mu.Lock()
 	seen.crashed = append(seen.crashed, time.Now())
@@ -109,7 +143,7 @@
 	time.AfterFunc(3*heartbeat, func() { l.Store.Remove("servers", before) })
 	time.Sleep(downFor)
 	s.Rename(next)
-	if err := s.Listen(); err != nil {
+	if err := back(); err != nil {
 		l.Record("%s is not back: %v", next, err)
 		return
 	}
@@ -138,7 +172,7 @@
 	defer ticker.Stop()
 	var open sync.WaitGroup
 	defer open.Wait()
-	for i := 0; time.Since(began) < playTime; i++ {
+	for i := 0; time.Since(began) < deadlyFrom+deadlyFor()+playAfter; i++ {
 		<-ticker.C
 		id, host := fmt.Sprintf("%08x", i), l.Hosts[i%len(l.Hosts)]
 		open.Go(func() {
@@ -151,9 +185,9 @@
 func sendDeadly(l *lab.Lab, began time.Time) {
 	time.Sleep(time.Until(began.Add(deadlyFrom)))
 	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for i := 0; time.Since(began) < deadlyFrom+deadlyFor; i++ {
+	for i := 0; time.Since(began) < deadlyFrom+deadlyFor(); i++ {
 		ctx, cancel := context.WithCancel(context.Background())
-		if lab.Trouble() {
+		if trouble("leave") {
 			time.AfterFunc(patience, cancel)
 		}
 		id, host := fmt.Sprint("deadly-", i), l.Hosts[rand.IntN(len(l.Hosts))]
--- a/review/standins/lab/lab.go
+++ b/review/standins/lab/lab.go
@@ -240,11 +240,11 @@
 // Trouble reports whether the disruption is to be played.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// Main runs a case with the record's path from the command line, and ends the
-// process with the exit status of a script: 1 if the rule was broken, 0 if it held,
+// Main runs a case with the record's path from the command line, which further
+// arguments may follow, and ends the process with the exit status of a script: 1 if the rule was broken, 0 if it held,
 // 2 if the case could not run.
 func Main(run func(*Lab) (broken bool, err error)) {
-	if len(os.Args) != 2 {
+	if len(os.Args) < 2 {
 		fmt.Fprintln(os.Stderr, "usage: PROGRAM RECORD")
 		os.Exit(2)
 	}
--- a/review/standins/lab/server.go
+++ b/review/standins/lab/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	Body              []byte
 	Extra             func() float64
 	Born              time.Time
+	// Deadly reports whether a request crashes the server, which the case brings about;
+	// its run never ends with an answer.
+	Deadly func(id string) bool
 	// OnRun is called when a request begins to run, OnReject when one is rejected.
 	OnRun, OnReject func(s *Server, id string)
 	// OnExtra is called when an answer is sent once more; to is the request that it
@@ -33,6 +37,7 @@
 	waiting  int
 	conns    map[net.Conn]bool
 	coldTill time.Time
+	ended    chan struct{} // closed when the boot that runs ends
 }
 
 // HealthPath is the path of the servers' status check.
@@ -73,6 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener, s.slots, s.waiting, s.conns = listener, make(chan struct{}, s.Slots), 0, map[net.Conn]bool{}
+	s.ended = make(chan struct{})
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -93,12 +99,84 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_ = s.listener.Close()
+	close(s.ended)
 	for c := range s.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
 	}
 }
 
+// GoDark takes the power from the server's machine: connections that are open are
+// neither answered nor closed, and new ones hang. The returned function brings the
+// machine back, which knows nothing of the old connections.
+func (s *Server) GoDark() (back func() error, err error) {
+	s.mu.Lock()
+	address := s.listener.Addr().(*net.TCPAddr)
+	_ = s.listener.Close()
+	conns := s.conns
+	s.conns = map[net.Conn]bool{}
+	close(s.ended)
+	s.mu.Unlock()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return nil, err
+	}
+	to := &syscall.SockaddrInet4{Port: address.Port}
+	copy(to.Addr[:], address.IP.To4())
+	if err := syscall.Bind(fd, to); err != nil {
+		return nil, err
+	}
+	// The kernel drops the opening packets of connections for which the queue has no
+	// room. A few connections fill it.
+	if err := syscall.Listen(fd, 0); err != nil {
+		return nil, err
+	}
+	fillers := fill(address.String())
+	return func() error {
+		_ = syscall.Close(fd)
+		for _, c := range fillers {
+			_ = c.Close()
+		}
+		for c := range conns {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+		return s.Listen()
+	}, nil
+}
+
+// fill opens connections to an address until one hangs.
+func fill(address string) (fillers []net.Conn) {
+	for {
+		c, err := net.DialTimeout("tcp", address, fillTimeout)
+		if err != nil {
+			return fillers
+		}
+		fillers = append(fillers, c)
+	}
+}
+
+// fillTimeout is how long a connection attempt takes at most that shows that the
+// queue of new connections has no room left.
+const fillTimeout = 20 * time.Millisecond
+
+// crashed returns a channel that is closed when the boot that runs ends.
+func (s *Server) crashed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// isOpen reports whether a connection belongs to the boot that runs.
+func (s *Server) isOpen(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[c]
+}
+
 // Entry returns the entry of the server in the store.
 func (s *Server) Entry(sequence int, born time.Time, warmupLeft time.Duration) map[string]any {
 	return map[string]any{
@@ -109,7 +187,11 @@
 
 // serve serves one connection, one request at a time.
 func (s *Server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		if s.isOpen(c) { // otherwise the machine has no power
+			_ = c.Close()
+		}
+	}()
 	reader := bufio.NewReader(c)
 	late, lateStatus, lateOf := "", "", ""
 	for {
@@ -131,6 +213,13 @@
 			late = ""
 		}
 		status, answer := s.answer(r, id)
+		if answer == "" {
+			<-s.crashed() // until then the connection stays open
+			return
+		}
+		if !s.isOpen(c) {
+			return
+		}
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
@@ -166,6 +255,9 @@
 	if s.OnRun != nil {
 		s.OnRun(s, id)
 	}
+	if s.Deadly != nil && s.Deadly(id) {
+		return "", ""
+	}
 	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(s.Work)))
 	<-slots
 	s.mu.Lock()
