Crashes of upstreams that have one cause count once in the whole tier

Cause: a host counts one of the upstreams that crash together, but each host another one, and the findings of all hosts were added up. A gather whose upstreams crashed together was quarantined by one host alone, and a retry that reached an upstream some milliseconds before it crashed counted too.

Ruled out: refusals by the upstreams (nothing is sent); the time of day in the findings as a remedy (clocks differ by seconds and jump); joining sets of upstreams that overlap (two hosts may have lost one answer each).

Change: a finding states its order, one more than that of the crashes that its host had recorded 200 ms or more before it sent the request. The longest chain counts. A suspected gather sends one part first, a suspected request waits for the check of its upstream before a retry. Records of older builds have no order: crashes of one host are a chain, those of two hosts may be one.

Conclusion: evidence that is added up over hosts has to say what it followed.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -217,6 +217,7 @@
 	DecisionFingerprintSuspected   Decision = "question_suspected"
 	DecisionFingerprintQuarantined Decision = "question_quarantined"
 	DecisionRequestQuarantined     Decision = "request_quarantined"
+	DecisionProbe                  Decision = "request_probed"
 	DecisionDomainSilent           Decision = "failure_domain_silent"
 	DecisionDomainResponsive       Decision = "failure_domain_heard"
 	DecisionPartitioned            Decision = "upstreams_unreachable"
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -190,7 +190,7 @@
 		Decision: DecisionRetry, RequestID: c.request.RequestID, Route: c.route.Name, Service: p.service, Upstream: a.to.ID,
 		Attempt: p.sends, Version: c.config.Version, Age: now.Sub(a.sentAt), Detail: "after " + r.Outcome.String(),
 	})
-	if r.Outcome == Lost && c.route.IsGather() && !c.hasUpstreamAnswer() {
+	if r.Outcome == Lost && !c.hasUpstreamAnswer() && (c.route.IsGather() || e.quarantine.needsProbe(c.request.Fingerprint)) {
 		// If the request crashes its upstreams, the delay limits the damage to
 		// one upstream of each service.
 		e.resendAfterBackoff(now, p)
@@ -215,6 +215,9 @@
 	if e.quarantine.crashCount(c.request.Fingerprint) >= quarantineAfter {
 		return false
 	}
+	if c.route.IsGather() && e.quarantine.crashedMost(c.request.Fingerprint, len(c.parts), c.request.At) {
+		return false
+	}
 	if p.possibleRuns() >= max(1, maxRuns) || p.sends >= maxAttempts || !now.Before(c.deadline) {
 		return false
 	}
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -94,7 +94,11 @@
 	}
 	e.calls[a.Call] = c
 	e.startTimers(now, c)
-	e.sendAll(now, c)
+	if route.IsGather() && e.quarantine.needsProbe(a.Fingerprint) {
+		e.startProbe(now, c)
+	} else {
+		e.sendAll(now, c)
+	}
 	e.tryComplete(now, c)
 }
 
@@ -357,6 +361,7 @@
 	if c.done {
 		return
 	}
+	e.continueProbe(now, c)
 	received, open, blocked := 0, 0, 0
 	for _, p := range c.parts {
 		switch {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -114,6 +114,9 @@
 	// queued is true if the parts were expected to wait in the queues.
 	queued bool
 	done   bool
+	// probe is the part that is sent first if the request may crash upstreams; nil if
+	// all parts are sent together.
+	probe *part
 	// relays are the hosts that relay parts, by failure domain. It is set only
 	// while all parts are being sent.
 	relays map[core.DomainID]*peer
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -159,9 +159,21 @@
 // such a request.
 type Suspect struct {
 	Fingerprint core.Fingerprint
-	Ended       []UpstreamStart
+	Ended       []Crash
 }
 
+// Crash is the crash of an upstream that ran a request.
+type Crash struct {
+	UpstreamStart
+	// Order is the place of the crash in a chain of crashes, from 1: its host sent the
+	// request after it had recorded a crash of the order before. Crashes of the same
+	// order may have one common cause. A record without orders, of an older build, lists
+	// crashes that followed on each other.
+	Order int
+}
+
+func (c Crash) compare(other Crash) int { return c.UpstreamStart.compare(other.UpstreamStart) }
+
 func (s Suspect) equal(other Suspect) bool {
 	return s.Fingerprint == other.Fingerprint && slices.Equal(s.Ended, other.Ended)
 }
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -11,15 +11,18 @@
 )
 
 const (
-	// quarantineAfter is how many upstreams have to crash before a fingerprint is
-	// quarantined. The quarantine lasts quarantinePeriod, plus as long again for
-	// each further crash, up to maxQuarantine.
+	// quarantineAfter is how many upstreams have to crash one after the other before
+	// a fingerprint is quarantined. The quarantine lasts quarantinePeriod, plus as
+	// long again for each further crash, up to maxQuarantine.
 	quarantineAfter  = 2
 	quarantinePeriod = 5 * time.Minute
 	maxQuarantine    = time.Hour
+	// crashSpread is the time within which upstreams crash that have a common cause,
+	// for instance a rack that loses power.
+	crashSpread = 200 * time.Millisecond
 	// gatherLossShare is the share of a gather's parts, and minGatherLosses the
 	// minimum number, whose upstreams have to crash together, before any part is
-	// answered, for all these crashes to be attributed to the gather.
+	// answered, for its running calls not to be retried.
 	gatherLossShare = 0.5
 	minGatherLosses = 3
 	// suspicionTTL is how long the crash of one upstream counts against a
@@ -49,10 +52,10 @@
 //
 // A lost answer alone is not sufficient evidence. The upstream has to refuse
 // connections right after it, and an answer from any upstream clears the
-// fingerprint. If several upstreams crash together, e.g. with their rack, one of
-// them counts against a fingerprint, unless they are most of the upstreams of a
-// gather. Each host publishes its findings to all others through the store, which
-// keeps them across restarts of hosts.
+// fingerprint. Upstreams that crash together, e.g. with their rack, count once, also
+// if several hosts find them: a crash counts in addition to another one only if the
+// request was sent after that one was known. Each host publishes its findings to all
+// others through the store, which keeps them across restarts of hosts.
 type quarantine struct {
 	self     core.HostID
 	suspects map[core.Fingerprint]*suspectFingerprint
@@ -69,16 +72,20 @@
 type suspectFingerprint struct {
 	crashes map[UpstreamStart]*crash
 	last    time.Time // when the newest one was recorded
-	// lostAt is when this host lost the last answer that counts against the
-	// fingerprint, and crashedTogether are the upstreams that crashed at the same time.
+	// lostAt is when this host lost the first of the answers that it lost together, and
+	// crashedTogether are the upstreams that crashed then.
 	lostAt          time.Time
 	crashedTogether []UpstreamStart
+	// answered is true if this host has had an answer since the newest crash.
+	answered bool
 }
 
 // crash is the crash of an upstream that ran a request.
 type crash struct {
-	seenHere bool // found by this host
-	reported bool // by another host
+	order    int       // see Crash
+	at       time.Time // when this host lost the answer or received the report
+	seenHere bool      // found by this host
+	reported bool      // by another host
 }
 
 // upstreamLosses are the lost answers of an upstream that is being checked.
@@ -97,10 +104,12 @@
 // finding is a new crash that counts against a fingerprint.
 type finding struct {
 	fingerprint core.Fingerprint
-	upstream    UpstreamStart
-	// crashCount is the number of upstreams that have crashed, including this one.
-	crashCount int
-	by         core.HostID
+	crash       Crash
+	// crashCount is the number of crashes that count, including this one. quarantined
+	// is true if this one puts the fingerprint in quarantine.
+	crashCount  int
+	quarantined bool
+	by          core.HostID
 }
 
 func newQuarantine(self core.HostID) *quarantine {
@@ -132,26 +141,56 @@
 	}
 	for _, l := range l.losses {
 		s := q.suspect(l.fingerprint)
-		switch {
-		case !l.sentAt.Before(s.lostAt):
-			s.lostAt, s.crashedTogether = l.at, []UpstreamStart{at}
-		case l.parts == 1 || slices.Contains(s.crashedTogether, at):
-			continue
-		default:
-			s.crashedTogether = append(s.crashedTogether, at)
-			if float64(len(s.crashedTogether)) < max(minGatherLosses, gatherLossShare*float64(l.parts)) {
-				continue
-			}
-		}
-		for _, at := range s.crashedTogether {
-			if s.add(now, at, true, false) {
-				found = append(found, finding{l.fingerprint, at, len(s.crashes), q.self})
-			}
+		s.recordLoss(l, at)
+		// One crash of each order is enough: the others add nothing to the count.
+		c := Crash{at, s.orderOf(l.sentAt, at)}
+		if c.Order > s.ownCount() {
+			found = append(found, q.add(l.at, now, s, l.fingerprint, c, q.self)...)
 		}
 	}
 	return found
 }
 
+// recordLoss records which upstreams crash together.
+func (s *suspectFingerprint) recordLoss(l loss, at UpstreamStart) {
+	switch {
+	case !l.sentAt.Before(s.lostAt):
+		s.lostAt, s.crashedTogether = l.at, []UpstreamStart{at}
+	case !slices.Contains(s.crashedTogether, at):
+		s.crashedTogether = append(s.crashedTogether, at)
+	}
+}
+
+// orderOf returns the order of the crash of an upstream to which the request was sent
+// at sentAt. Crashes that were not known then, or only just, may have the same cause.
+func (s *suspectFingerprint) orderOf(sentAt time.Time, at UpstreamStart) int {
+	order := 1
+	for other, c := range s.crashes {
+		if other != at && !sentAt.Before(c.at.Add(crashSpread)) {
+			order = max(order, c.order+1)
+		}
+	}
+	return order
+}
+
+// count returns how many crashes count against the fingerprint.
+func (s *suspectFingerprint) count() (highest int) {
+	for _, c := range s.crashes {
+		highest = max(highest, c.order)
+	}
+	return highest
+}
+
+// ownCount returns how many of the crashes that this host found count.
+func (s *suspectFingerprint) ownCount() (highest int) {
+	for _, c := range s.crashes {
+		if c.seenHere {
+			highest = max(highest, c.order)
+		}
+	}
+	return highest
+}
+
 // suspect returns the record of a fingerprint, and creates it if necessary.
 func (q *quarantine) suspect(fingerprint core.Fingerprint) *suspectFingerprint {
 	s := q.suspects[fingerprint]
@@ -177,24 +216,30 @@
 	delete(q.suspects, oldest)
 }
 
-// add records a crash, and reports whether it did not yet count against the
-// fingerprint.
-func (s *suspectFingerprint) add(now time.Time, at UpstreamStart, seenHere, reported bool) bool {
-	e, known := s.crashes[at]
+// add records a crash, which this host noticed at the time at, and returns the finding
+// if the crash was not known.
+func (q *quarantine) add(at, now time.Time, s *suspectFingerprint, fingerprint core.Fingerprint, c Crash, by core.HostID) []finding {
+	before := s.count()
+	e, known := s.crashes[c.UpstreamStart]
 	if !known {
-		e = &crash{}
-		s.crashes[at] = e
-		s.last = now
+		e = &crash{at: at}
+		s.crashes[c.UpstreamStart] = e
+		s.last, s.answered = now, false
+	}
+	e.order = max(e.order, c.Order)
+	e.seenHere, e.reported = e.seenHere || by == q.self, e.reported || by != q.self
+	after := s.count()
+	if known && after == before {
+		return nil
 	}
-	e.seenHere, e.reported = e.seenHere || seenHere, e.reported || reported
-	return !known
+	return []finding{{fingerprint, c, after, before < quarantineAfter && after >= quarantineAfter, by}}
 }
 
 // adopt makes the findings of other hosts this host's own where they are enough for a
 // quarantine. The store may have lost them together with the hosts that found them.
 func (q *quarantine) adopt() {
 	for _, s := range q.suspects {
-		if len(s.crashes) < quarantineAfter {
+		if s.count() < quarantineAfter {
 			continue
 		}
 		for _, e := range s.crashes {
@@ -222,10 +267,11 @@
 			continue // this host's own record, which may be outdated
 		}
 		for _, suspect := range byHost[by] {
-			for _, at := range suspect.Ended {
-				if s := q.suspect(suspect.Fingerprint); s.add(now, at, own, !own) {
-					found = append(found, finding{suspect.Fingerprint, at, len(s.crashes), by})
+			for i, c := range suspect.Ended {
+				if c.Order <= 0 {
+					c.Order = i + 1
 				}
+				found = append(found, q.add(now, now, q.suspect(suspect.Fingerprint), suspect.Fingerprint, c, by)...)
 			}
 		}
 	}
@@ -243,6 +289,7 @@
 	if s == nil {
 		return false
 	}
+	s.answered = true
 	for _, e := range s.crashes {
 		changed = changed || e.seenHere
 		e.seenHere = false
@@ -256,7 +303,7 @@
 func (q *quarantine) sweep(now time.Time) (remaining bool) {
 	for _, s := range q.suspects {
 		keep := suspicionTTL
-		if len(s.crashes) >= quarantineAfter {
+		if s.count() >= quarantineAfter {
 			keep = quarantineTTL
 		}
 		for _, e := range s.crashes {
@@ -277,14 +324,28 @@
 	}
 }
 
-// crashCount returns how many upstreams have crashed while they ran requests with
-// a fingerprint.
+// crashCount returns how many crashes count against a fingerprint.
 func (q *quarantine) crashCount(fingerprint core.Fingerprint) int {
 	s := q.suspects[fingerprint]
 	if s == nil {
 		return 0
 	}
-	return len(s.crashes)
+	return s.count()
+}
+
+// crashedMost reports whether most upstreams of a gather with the given number of parts
+// have crashed together since it arrived.
+func (q *quarantine) crashedMost(fingerprint core.Fingerprint, parts int, arrived time.Time) bool {
+	s := q.suspects[fingerprint]
+	return s != nil && s.lostAt.After(arrived) &&
+		float64(len(s.crashedTogether)) >= max(minGatherLosses, gatherLossShare*float64(parts))
+}
+
+// needsProbe reports whether an upstream has crashed while it ran a request, and no
+// upstream has answered such a request here since.
+func (q *quarantine) needsProbe(fingerprint core.Fingerprint) bool {
+	s := q.suspects[fingerprint]
+	return s != nil && !s.answered
 }
 
 // until returns the end of the quarantine of a fingerprint, and whether it is in
@@ -306,11 +367,11 @@
 		suspect := Suspect{Fingerprint: fingerprint}
 		for at, e := range s.crashes {
 			if e.seenHere {
-				suspect.Ended = append(suspect.Ended, at)
+				suspect.Ended = append(suspect.Ended, Crash{at, e.order})
 			}
 		}
 		if len(suspect.Ended) > 0 {
-			slices.SortFunc(suspect.Ended, UpstreamStart.compare)
+			slices.SortFunc(suspect.Ended, Crash.compare)
 			all = append(all, suspect)
 		}
 	}
@@ -371,12 +432,12 @@
 	for _, f := range found {
 		own = own || f.by == e.options.Self
 		note := Note{
-			Decision: DecisionFingerprintSuspected, Fingerprint: f.fingerprint, Upstream: f.upstream.ID, UpstreamsLost: f.crashCount,
+			Decision: DecisionFingerprintSuspected, Fingerprint: f.fingerprint, Upstream: f.crash.ID, UpstreamsLost: f.crashCount,
 			Version: e.Version(), Detail: "found by " + string(f.by),
 		}
 		e.stats.Accused++
 		e.note(note)
-		if f.crashCount == quarantineAfter {
+		if f.quarantined {
 			note.Decision = DecisionFingerprintQuarantined
 			e.stats.Quarantined++
 			e.note(note)
--- a/core/scatter/relay.go
+++ b/core/scatter/relay.go
@@ -82,14 +82,14 @@
 	return best
 }
 
-// sendAll sends all parts of a call that are not over.
+// sendAll sends all parts of a call that were not sent and are not over.
 func (e *Engine) sendAll(now time.Time, c *call) {
 	first := len(e.out.Sends)
 	if e.mayRelay(c) {
 		c.relays = map[core.DomainID]*peer{}
 	}
 	for _, p := range c.parts {
-		if !p.exhausted {
+		if !p.exhausted && !p.answered && !p.waiting && p.sends == 0 {
 			e.send(now, p)
 		}
 	}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -115,10 +115,11 @@
 	if err := cluster.store.SetFaults(platformstub.Faults{Down: true}); err != nil {
 		t.Fatal(err)
 	}
-	// Only one host observes the crashes.
+	// Only one host observes the crashes, which follow on each other.
 	for range 3 {
 		cluster.requestCount += 4
 		cluster.hosts[0].request("GET", "/fetch/deadly", fmt.Sprint("deadly-", cluster.requestCount), "")
+		time.Sleep(700 * time.Millisecond) // until the servers are back
 	}
 	if err := cluster.store.SetFaults(platformstub.Faults{LoseReplies: 2}); err != nil {
 		t.Fatal(err)
