Keep missing entries only if the store may have been away

Cause: a host that lost the hosts that it follows took missing entries for such as expired in an outage of the store, and kept their upstreams for 2.3 s more, after the 1.6 s and up to 0.9 s until it had a source again.

Change: when a feed has a source again, SourceGap.StoreMayHaveFailed decides whether the store may have been away: not if the source has read it without a failed call since before the gap; otherwise if own calls or those of the source failed. Readers state this in the first message of a feed. Otherwise entries that are missing are dropped at once, unless they go missing in a mass, after a restore, or within an earlier grace period.

Beside older builds: they ignore the two fields; a reader of an older build states nothing, and own calls alone decide.

Conclusion: "no source" and "no store" are two facts and need two names.

--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -13,7 +13,8 @@
 
 const (
 	// entryGrace is how long an upstream without an entry is kept after the
-	// registry has recovered. Running upstreams register again within 2 s.
+	// registry has recovered from an outage. Running upstreams register again within
+	// 2 s.
 	entryGrace = 2300 * time.Millisecond
 	// massRemovalShare is the share of all entries above which removals within a
 	// second are attributed to entries that expired while the registry was
@@ -109,9 +110,12 @@
 	reachableAt    time.Time // when it was last reachable
 	listed         bool
 	graceEnds      time.Time
-	pendingGrace   []*upstream
-	notices        *Notices
-	restored       restoredEntries
+	// earlierGrace is when the grace period ends that had begun before the registry
+	// became unreachable.
+	earlierGrace time.Time
+	pendingGrace []*upstream
+	notices      *Notices
+	restored     restoredEntries
 	// replaced is true while other hosts may have taken over this host's share of the
 	// rate of cold upstreams, since it does not reach upstreams or is registered so.
 	// It sends nothing to cold upstreams then and until coldHoldUntil.
@@ -199,6 +203,9 @@
 	if u == nil {
 		return nil, ""
 	}
+	if !u.Draining {
+		d.countRemoval(now)
+	}
 	if !u.Draining && (d.mayHaveExpired(now) || d.isMassRemoval(now)) {
 		d.keepForGrace(now, u)
 		return u, DecisionUpstreamKept
@@ -208,19 +215,22 @@
 }
 
 // mayHaveExpired reports whether entries may have expired while their upstreams
-// still run: the registry is unavailable or has just recovered.
+// still run: the registry may be unavailable or has just recovered.
 func (d *directory) mayHaveExpired(now time.Time) bool {
 	return !d.reachable || now.Before(d.graceEnds)
 }
 
-// isMassRemoval counts a removal and reports whether too many have happened
-// within a second.
-func (d *directory) isMassRemoval(now time.Time) bool {
+// countRemoval counts the removal of an entry that was not drained.
+func (d *directory) countRemoval(now time.Time) {
 	if now.Sub(d.removalsSince) > time.Second {
 		d.recentRemovals, d.removalsSince = 0, now
 	}
 	d.recentRemovals++
-	return float64(d.recentRemovals) > max(2, massRemovalShare*float64(len(d.byID)))
+}
+
+// isMassRemoval reports whether too many removals have happened within a second.
+func (d *directory) isMassRemoval(now time.Time) bool {
+	return now.Sub(d.removalsSince) <= time.Second && float64(d.recentRemovals) > max(2, massRemovalShare*float64(len(d.byID)))
 }
 
 func (d *directory) keepForGrace(now time.Time, u *upstream) {
@@ -272,13 +282,18 @@
 	return all
 }
 
-// setReachable records whether the registry can be reached.
-func (d *directory) setReachable(now time.Time, reachable bool) {
-	if reachable && !d.reachable {
+// setReachable records whether the registry can be reached. Entries that are missing
+// once it can be reached again have expired if it may have failed; otherwise their
+// upstreams are gone.
+func (d *directory) setReachable(now time.Time, reachable, mayHaveFailed bool) {
+	switch {
+	case reachable == d.reachable:
+	case !reachable:
+		d.reachableAt, d.earlierGrace = now, d.graceEnds
+	case mayHaveFailed:
 		d.graceEnds = now.Add(entryGrace)
-	}
-	if !reachable && d.reachable {
-		d.reachableAt = now
+	case !d.isMassRemoval(now) && !d.restored.active(now):
+		d.graceEnds = d.earlierGrace
 	}
 	d.reachable = reachable
 }
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -299,8 +299,7 @@
 	case SuspectsSeen:
 		e.handleSuspects(now, event)
 	case StoreReachable:
-		e.directory.setReachable(now, event.Reachable)
-		e.startGraceTimer(now)
+		e.setReachable(now, event)
 	case Stopping:
 		e.stopBy(event.Until)
 	case LimitEnded:
@@ -309,6 +308,20 @@
 	}
 }
 
+// setReachable records whether the registry can be reached.
+func (e *Engine) setReachable(now time.Time, event StoreReachable) {
+	e.directory.setReachable(now, event.Reachable, event.MayHaveFailed)
+	e.startGraceTimer(now)
+	detail := "not reachable"
+	switch {
+	case event.Reachable && event.MayHaveFailed:
+		detail = "reachable, may have been unavailable"
+	case event.Reachable:
+		detail = "reachable"
+	}
+	e.note(Note{Decision: DecisionRegistryReachable, Version: e.Version(), Detail: detail})
+}
+
 // startGraceTimer schedules the removal of upstreams whose entries are still
 // missing when the grace period ends.
 func (e *Engine) startGraceTimer(now time.Time) {
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -190,8 +190,14 @@
 // LimitEnded is a report of another host.
 type LimitEnded struct{ LimitEnd }
 
-// StoreReachable reports whether this host can reach the registry of upstreams.
-type StoreReachable struct{ Reachable bool }
+// StoreReachable reports whether this host can reach the registry of upstreams,
+// directly or through another host.
+type StoreReachable struct {
+	Reachable bool
+	// MayHaveFailed is true if the registry has become reachable and may have been
+	// unavailable to the upstreams too; see SourceGap.
+	MayHaveFailed bool
+}
 
 // Tick has no effect besides running the timers that are due.
 type Tick struct{}
--- a/core/scatter/single_test.go
+++ b/core/scatter/single_test.go
@@ -96,7 +96,7 @@
 	r.configure(1, 4)
 	r.step(scatter.StoreReachable{Reachable: false})
 	r.run(4 * time.Second)
-	r.step(scatter.StoreReachable{Reachable: true})
+	r.step(scatter.StoreReachable{Reachable: true, MayHaveFailed: true})
 	r.step(scatter.UpstreamsListed{})
 	call := r.ask(gatherPath)
 	r.run(1500 * ms)
--- a/edge/host.go
+++ b/edge/host.go
@@ -117,7 +117,7 @@
 	h.registry.onHostSeen = func(id core.HostID) { h.tryEnqueue(scatter.HostAlive{ID: id}) }
 	h.registry.followers.onChange = func(followed bool) { h.enqueue(scatter.Followed{ByOthers: followed}) }
 	h.registry.onSilentHosts = func(report scatter.HostsSilent) { h.tryEnqueue(report) }
-	h.registry.onStoreReachable = func(up bool) { h.enqueue(scatter.StoreReachable{Reachable: up}) }
+	h.registry.onStoreReachable = func(e scatter.StoreReachable) { h.enqueue(e) }
 	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.log, h.panics)
 	h.peerServer = newPeerServer(h)
 	h.decision = &decisionLoop{core: h.newCore(), inbox: h.inbox, execute: h.execute, replaceCore: h.replaceCore}
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
@@ -26,7 +27,12 @@
 	objects        map[string]platform.Change
 	sources        int // sources that are up: the store reader and streams
 	storeUp        bool
-	onSourceChange func(up bool)
+	storeUpSince   time.Time
+	storeFailedAt  time.Time // when this host's own store reader last failed
+	storeFailing   bool      // whether its last call failed
+	storeFailed    bool      // whether it failed right before storeUpSince
+	sourceLostAt   time.Time // when the last source was lost
+	onSourceChange func(up bool, gap scatter.SourceGap)
 	// onIgnored is called for an update of another era of the store that is ignored
 	// as not newer than the state at hand.
 	onIgnored func(u platform.Update, at core.Position)
@@ -184,6 +190,7 @@
 	if err != nil {
 		return nil, err
 	}
+	full.StoreUpUs, full.StoreFailed = max(1, time.Since(h.storeUpSince).Microseconds()), h.storeFailed
 	s := &subscriber{updates: make(chan *edgepb.FeedUpdate, subscriberBuffer)}
 	s.updates <- full
 	h.subscribers[s] = struct{}{}
@@ -204,12 +211,19 @@
 	}
 }
 
-// setStoreUp records whether this host's own store reader works. When it stops
-// working, all followers are disconnected, so that they follow another reader.
-func (h *hub) setStoreUp(up bool) {
+// setStoreUp records whether this host's own store reader works; failed is true if its
+// last call failed. When it stops working, all followers are disconnected, so that they
+// follow another reader.
+func (h *hub) setStoreUp(up, failed bool) {
 	h.mu.Lock()
 	changed := h.storeUp != up
 	h.storeUp = up
+	if up && changed {
+		h.storeUpSince, h.storeFailed, h.storeFailing = time.Now(), h.storeFailing, false
+	}
+	if failed {
+		h.storeFailedAt, h.storeFailing = time.Now(), true
+	}
 	if !up {
 		for s := range h.subscribers {
 			h.unsubscribeLocked(s)
@@ -217,7 +231,7 @@
 	}
 	h.mu.Unlock()
 	if changed {
-		h.sourceChanged(up)
+		h.sourceChanged(up, scatter.RegistrySource{})
 	}
 }
 
@@ -240,8 +254,9 @@
 	return h.storeUp
 }
 
-// sourceChanged counts a source that came up or went down.
-func (h *hub) sourceChanged(up bool) {
+// sourceChanged counts a source that came up or went down. A source that came up is
+// described by from, or is this host's own store reader.
+func (h *hub) sourceChanged(up bool, from scatter.RegistrySource) {
 	h.mu.Lock()
 	before := h.sources > 0
 	if up {
@@ -250,9 +265,19 @@
 		h.sources--
 	}
 	after := h.sources > 0
+	now := time.Now()
+	gap := scatter.SourceGap{Source: from}
+	if before && !after {
+		h.sourceLostAt = now
+	}
+	if !before && after && !h.sourceLostAt.IsZero() {
+		// A lost source is noticed up to followSilenceTimeout late.
+		heardAt := h.sourceLostAt.Add(-followSilenceTimeout)
+		gap.Length, gap.StoreFailed = now.Sub(heardAt), h.storeFailedAt.After(heardAt)
+	}
 	notify := h.onSourceChange
 	h.mu.Unlock()
 	if before != after && notify != nil {
-		notify(after)
+		notify(after, gap)
 	}
 }
--- a/edge/hub_test.go
+++ b/edge/hub_test.go
@@ -14,7 +14,7 @@
 func TestHubIgnoresListOfKnownRevision(t *testing.T) {
 	delivered := 0
 	h := newHub(platform.DomainFeed(nil), func(platform.EventBatch) { delivered++ })
-	h.setStoreUp(true)
+	h.setStoreUp(true, false)
 	list := platform.Update{Reset: true, Revision: 5}
 	h.apply(list)
 	follower, err := h.subscribe()
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,10 +98,13 @@
 	silentHosts   *silentHosts // reported to this host's followers
 	// onStoreReachable is called with false when the first feed loses its last
 	// source, and with true when all feeds have one again.
-	onStoreReachable func(bool)
+	onStoreReachable func(scatter.StoreReachable)
 	sourceMu         sync.Mutex
 	feedsWithSource  int
-	current          atomic.Pointer[plan]
+	// storeMayHaveFailed is true if a feed has a source again that had none while the
+	// store may have been unavailable, until it is reported.
+	storeMayHaveFailed bool
+	current            atomic.Pointer[plan]
 
 	followers *followers
 
@@ -195,7 +199,7 @@
 
 // follow applies the updates of a reader's stream until the stream ends. It
 // calls the function up once the stream has brought as many updates as it has feeds.
-func (r *registry) follow(ctx context.Context, reader scatter.Host, feeds []string, up func()) (err error) {
+func (r *registry) follow(ctx context.Context, reader scatter.Host, feeds []string, up func(scatter.RegistrySource)) (err error) {
 	defer r.panics.recoverPanic("registry", "", func() { err = errUnexpected })
 	client, err := r.peers.client(reader.Address)
 	if err != nil {
@@ -210,6 +214,7 @@
 		return eris.Wrap(err, "follow")
 	}
 	pending := len(feeds)
+	from := scatter.RegistrySource{UpFor: math.MaxInt64}
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -224,8 +229,12 @@
 		if err := r.applyMessage(message); err != nil {
 			return err
 		}
+		if pending > 0 {
+			from.UpFor = min(from.UpFor, time.Duration(max(0, message.StoreUpUs))*time.Microsecond)
+			from.Failed = from.Failed || message.StoreFailed
+		}
 		if pending--; pending == 0 {
-			up()
+			up(from)
 		}
 	}
 }
@@ -259,22 +268,28 @@
 	r.followers.redeliver()
 	r.sourceMu.Lock()
 	defer r.sourceMu.Unlock()
-	r.onStoreReachable(r.feedsWithSource == len(r.hubs))
+	r.onStoreReachable(scatter.StoreReachable{Reachable: r.feedsWithSource == len(r.hubs)})
 }
 
 // feedSourceChanged counts the feeds that have a source, and reports when the
 // store becomes reachable or unreachable.
-func (r *registry) feedSourceChanged(up bool) {
+func (r *registry) feedSourceChanged(up bool, gap scatter.SourceGap) {
 	r.sourceMu.Lock()
 	defer r.sourceMu.Unlock()
 	before := r.feedsWithSource == len(r.hubs)
 	if up {
 		r.feedsWithSource++
+		r.storeMayHaveFailed = r.storeMayHaveFailed || gap.StoreMayHaveFailed()
 	} else {
 		r.feedsWithSource--
 	}
-	if after := r.feedsWithSource == len(r.hubs); before != after {
-		r.onStoreReachable(after)
+	after := r.feedsWithSource == len(r.hubs)
+	if before == after {
+		return
+	}
+	r.onStoreReachable(scatter.StoreReachable{Reachable: after, MayHaveFailed: after && r.storeMayHaveFailed})
+	if after {
+		r.storeMayHaveFailed = false
 	}
 }
 
@@ -290,8 +305,8 @@
 }
 
 // streamChanged counts a stream that came up or ended, as a source of its
-// feeds.
-func (r *registry) streamChanged(up bool, feeds []string) {
+// feeds. One that came up is described by from.
+func (r *registry) streamChanged(up bool, feeds []string, from scatter.RegistrySource) {
 	if up {
 		r.openStreams.Add(1)
 	} else {
@@ -299,7 +314,7 @@
 		r.lastStreamEnd.Store(int64(time.Since(r.started)))
 	}
 	for _, name := range feeds {
-		r.hubs[name].sourceChanged(up)
+		r.hubs[name].sourceChanged(up, from)
 	}
 }
 
@@ -451,13 +466,14 @@
 	for at := slot; ctx.Err() == nil; at += slots {
 		reader := others[at%len(others)]
 		up := false
-		err := r.follow(ctx, reader, feeds, func() {
+		err := r.follow(ctx, reader, feeds, func(from scatter.RegistrySource) {
 			up, failures = true, 0
-			r.streamChanged(true, feeds)
-			r.log.Info().Str("event", "dependency_regained").Str("dependency", "reader").Str("reader", string(reader.ID)).Msg("following")
+			r.streamChanged(true, feeds, from)
+			r.log.Info().Str("event", "dependency_regained").Str("dependency", "reader").Str("reader", string(reader.ID)).
+				Dur("store_up_for", from.UpFor).Bool("store_failed", from.Failed).Msg("following")
 		})
 		if up {
-			r.streamChanged(false, feeds)
+			r.streamChanged(false, feeds, scatter.RegistrySource{})
 		}
 		if ctx.Err() != nil {
 			return
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -50,7 +50,7 @@
 
 // run reads the feed until ctx ends.
 func (r *storeReader) run(ctx context.Context) {
-	defer r.hub.setStoreUp(false)
+	defer r.hub.setStoreUp(false, false)
 	var at core.Position
 	listed := false
 	for ctx.Err() == nil {
@@ -65,7 +65,7 @@
 			r.succeeded()
 			at = update.Position()
 			listed = applied
-			r.hub.setStoreUp(true)
+			r.hub.setStoreUp(true, false)
 			if len(update.Changes) > 0 {
 				pause(ctx, batchDelay)
 			}
@@ -118,7 +118,7 @@
 		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("feed", r.hub.feed.Name).AnErr("cause", err).Msg("the store does not answer")
 	}
 	r.up = false
-	r.hub.setStoreUp(false)
+	r.hub.setStoreUp(false, true)
 	maxBackoff := time.Duration(maxBackoffShare * float64(r.contactTime))
 	backoff := min(maxBackoff, initialStoreBackoff<<min(r.failures, 8))
 	r.failures++
