A lost answer counts against a request whose caller has left

Cause: the loss of an answer was ignored once its call was over, to leave out attempts that the host had cancelled. What must not run twice is not cancelled when its caller leaves, so its upstream crashed unseen.

Ruled out: an answer that clears it (there is none); a fingerprint that changes (with a caller that stays it is quarantined).

Change: only attempts that this host cancelled are ignored. Those cancelled for a caller that left are kept until their deadline and count if their upstream is found to have crashed, unless the request is answered meanwhile.

Nothing between hosts or in stored records changes.

Conclusion: who still waits says nothing about what an attempt did.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -125,23 +125,27 @@
 		u.backoffUntil = now.Add(wrongInstanceBackoff)
 		e.noteSuspect(u, r)
 	case Unreached:
-		if c.done {
+		if a.cancelled {
 			return // the caller disconnected before the request was sent
 		}
 		u.backOff(now)
 		e.noteSuspect(u, r)
+		if e.quarantine.isAbandonedAt(now, u.Start()) && e.quarantine.startCheck(now, u.Start()) {
+			e.out.Checks = append(e.out.Checks, Check{Target: u.Upstream})
+		}
 	case Lost:
 		e.recordLost(now, a, r, ratio)
 	}
 }
 
-// recordLost records an attempt whose answer did not come. It is ignored if the
-// caller disconnected before the deadline, since that is no evidence against the
-// upstream. It does not count against the fingerprint if the deadline has passed or
+// recordLost records an attempt whose answer did not come. It is ignored if this host
+// cancelled the attempt, since that is no evidence against the upstream. It counts
+// whether or not the caller still waits: a request that must not run twice is not
+// cancelled when its caller disconnects. It does not count against the fingerprint if the deadline has passed or
 // if another upstream has answered.
 func (e *Engine) recordLost(now time.Time, a *attempt, r AttemptEnded, ratio float64) {
 	u, c := a.to, a.part.call
-	if c.done && now.Before(c.deadline) {
+	if a.cancelled {
 		return
 	}
 	u.observe(now, max(1, ratio), true)
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -529,6 +529,7 @@
 	if !c.route.Repeatable {
 		return
 	}
+	e.recordAbandoned(now, c)
 	e.cancelAttempts(c)
 }
 
@@ -537,6 +538,7 @@
 	for _, p := range c.parts {
 		for _, a := range p.attempts {
 			if _, running := e.attempts[a.id]; running {
+				a.cancelled = true
 				e.out.Cancels = append(e.out.Cancels, Cancel{Attempt: a.id})
 			}
 		}
--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -93,12 +93,11 @@
 		return
 	}
 	c := &e.connectivity
-	callerLeft := a.part.call.done && now.Before(a.part.call.deadline)
 	switch {
 	case outcome.Answered():
 		c.answeredAt = now
 		delete(c.failing, a.to)
-	case (outcome == Unreached || outcome == Lost) && !callerLeft:
+	case (outcome == Unreached || outcome == Lost) && !a.cancelled:
 		c.failing[a.to] = now
 		e.suspectConnectivity(now)
 	}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -155,6 +155,8 @@
 	via    *peer
 	extra  bool
 	notRun bool // whether it surely did not run; set when the attempt ends
+	// cancelled is true if this host ended the attempt, whose outcome says nothing then.
+	cancelled bool
 }
 
 // New returns an Engine without a configuration.
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -60,6 +60,8 @@
 	self     core.HostID
 	suspects map[core.Fingerprint]*suspectFingerprint
 	losses   map[UpstreamStart]*upstreamLosses
+	// abandoned holds the attempts that were cancelled because their callers left.
+	abandoned map[core.Fingerprint][]abandonedAttempt
 	// listed is true once this host has read the stored findings. Before, it
 	// would overwrite its own record without having read it.
 	listed     bool
@@ -113,33 +115,41 @@
 }
 
 func newQuarantine(self core.HostID) *quarantine {
-	return &quarantine{self: self, suspects: map[core.Fingerprint]*suspectFingerprint{}, losses: map[UpstreamStart]*upstreamLosses{}}
+	return &quarantine{
+		self: self, suspects: map[core.Fingerprint]*suspectFingerprint{}, losses: map[UpstreamStart]*upstreamLosses{},
+		abandoned: map[core.Fingerprint][]abandonedAttempt{},
+	}
 }
 
 // recordLoss records a lost answer of an upstream, and reports whether a check of
 // the upstream is to be started.
 func (q *quarantine) recordLoss(now time.Time, at UpstreamStart, lost loss) (check bool) {
-	l := q.losses[at]
-	if l == nil || now.Sub(l.checkedAt) > checkTimeout {
-		l = &upstreamLosses{checkedAt: now}
-		q.losses[at] = l
-		check = true
-	}
-	if len(l.losses) < maxLosses {
+	check = q.startCheck(now, at)
+	if l := q.losses[at]; len(l.losses) < maxLosses {
 		l.losses = append(l.losses, lost)
 	}
 	return check
 }
 
+// startCheck reports whether a check of an upstream is to be started, unless one is
+// in progress.
+func (q *quarantine) startCheck(now time.Time, at UpstreamStart) bool {
+	if l := q.losses[at]; l != nil && now.Sub(l.checkedAt) <= checkTimeout {
+		return false
+	}
+	q.losses[at] = &upstreamLosses{checkedAt: now}
+	return true
+}
+
 // resolveCheck evaluates the losses of an upstream with the result of its check,
 // and returns the findings.
 func (q *quarantine) resolveCheck(now time.Time, at UpstreamStart, result CheckResult) (found []finding) {
-	l := q.losses[at]
+	checked := q.losses[at]
 	delete(q.losses, at)
-	if l == nil || result != UpstreamRefuses {
+	if checked == nil || result != UpstreamRefuses {
 		return nil
 	}
-	for _, l := range l.losses {
+	for _, l := range append(checked.losses, q.takeAbandoned(now, at)...) {
 		s := q.suspect(l.fingerprint)
 		s.recordLoss(l, at)
 		// One crash of each order is enough: the others add nothing to the count.
@@ -285,6 +295,7 @@
 // clear removes this host's own findings against a fingerprint, after an upstream
 // has answered such a request and thus survived it.
 func (q *quarantine) clear(fingerprint core.Fingerprint) (changed bool) {
+	delete(q.abandoned, fingerprint)
 	s := q.suspects[fingerprint]
 	if s == nil {
 		return false
