Bytes that are not UTF-8 no longer end the streams between hosts

A request with such bytes in its head or path, or an answer with them in a bad head or its signature, could not be encoded for the stream to or from a relay. That ended the stream, and the parts of all other requests on it were lost and sent again. A handover of such a request failed at every host.

Cause: protobuf strings must be UTF-8; HTTP heads need not be.

Change: header values that are not UTF-8 travel as bytes (raw_values); a request whose host or path is not is sent directly; a relay replaces such bytes in the cause of a failure and counts a part with such a signature as lost.

Evidence: TestBytesThatAreNoTextEndNoRelayStream failed before ("the stream to the relay ended", cause and signature not encodable), passes now; TestHeadersThatAreNoTextAreHandedOver is new with the field.

Conclusion: what comes from outside is bytes until it has been checked.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
@@ -188,7 +190,14 @@
 func encodeHeaders(header http.Header) []*edgepb.Header {
 	encoded := make([]*edgepb.Header, 0, len(header))
 	for name, values := range header {
-		encoded = append(encoded, &edgepb.Header{Name: name, Values: values})
+		h := &edgepb.Header{Name: name, Values: values}
+		if slices.ContainsFunc(values, func(value string) bool { return !utf8.ValidString(value) }) {
+			h.Values = nil
+			for _, value := range values {
+				h.RawValues = append(h.RawValues, []byte(value))
+			}
+		}
+		encoded = append(encoded, h)
 	}
 	return encoded
 }
@@ -197,6 +206,9 @@
 	header := make(http.Header, len(encoded))
 	for _, h := range encoded {
 		header[h.Name] = h.Values
+		for _, value := range h.RawValues {
+			header[h.Name] = append(header[h.Name], string(value))
+		}
 	}
 	return header
 }
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
@@ -108,6 +109,12 @@
 	l.calls[call.id] = call
 	call.deadlineTimer = time.AfterFunc(time.Until(call.sends[0].Deadline), func() { l.expire(call) })
 	l.mu.Unlock()
+	if m := call.request.Message; !utf8.ValidString(m.Host + m.Target) {
+		// A message that cannot be encoded would end the stream, and with it the
+		// requests of other callers.
+		go l.finish(call, scatter.AttemptEnded{Outcome: scatter.NotRelayed, Cause: "the path is not UTF-8"})
+		return
+	}
 	select {
 	case l.outgoing <- relayMessage{call: call}:
 	default:
--- a/edge/relay_server.go
+++ b/edge/relay_server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -199,11 +201,14 @@
 // encodePart returns the result of one send with the records that keeper selects.
 func encodePart(index int, replied scatter.AttemptEnded, took time.Duration, keeper *scatter.TopKeeper) *edgepb.RelayedPart {
 	part := &edgepb.RelayedPart{
-		Index: int32(index), Outcome: int32(replied.Outcome.AsRelayed()), TookUs: max(1, took.Microseconds()), Cause: replied.Cause,
+		Index: int32(index), Outcome: int32(replied.Outcome.AsRelayed()), TookUs: max(1, took.Microseconds()), Cause: strings.ToValidUTF8(replied.Cause, "\ufffd"),
 	}
 	if reply, ok := replied.Payload.(*platform.Reply); ok && replied.Outcome == scatter.Succeeded {
 		part.Signature, part.Records = reply.Part(keeper)
 	}
+	if !utf8.ValidString(part.Signature) {
+		part.Outcome, part.Signature, part.Records, part.Cause = int32(scatter.Lost), "", nil, "the signature is not UTF-8"
+	}
 	// A request to back off is not forwarded. It applies to this host only: the
 	// other host may send the part itself.
 	part.Leaving = replied.Notice.Leaving
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -1,14 +1,21 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
+	"net"
+	"net/http"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/edgepb"
+	"github.com/samphirebeam/samphirebeam/platform"
 	"github.com/samphirebeam/samphirebeam/standin/serverstub"
 )
 
@@ -187,3 +194,57 @@
 		}
 	}
 }
+
+// TestBytesThatAreNoTextEndNoRelayStream guards against a request or an answer that
+// cannot be encoded for the stream between hosts and ends it, and with it the requests
+// of other callers.
+func TestBytesThatAreNoTextEndNoRelayStream(t *testing.T) {
+	_, hosts := newRelayCluster(t)
+	for i, target := range []string{"/gather/x", "/gather/caf\xe9"} {
+		conn, err := net.Dial("tcp", hosts[0].platformSettings.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-%d\r\nX-Name: caf\xe9\r\n\r\n", target, i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if missing := response.Header.Get("Missing-Parts"); response.StatusCode != http.StatusOK || missing != "0" {
+			t.Errorf("%q: status %d, %q missing", target, response.StatusCode, missing)
+		}
+	}
+	if strings.Contains(hosts[0].log.String(), "invalid UTF-8") {
+		t.Error("the stream to the relay ended")
+	}
+	for name, replied := range map[string]scatter.AttemptEnded{
+		"cause":     {Outcome: scatter.Lost, Cause: "malformed MIME header line: \xff\xfe"},
+		"signature": {Outcome: scatter.Succeeded, Payload: platform.NewPart("\xff\xfe", record('a'))},
+	} {
+		part := encodePart(0, replied, time.Millisecond, scatter.NewTopKeeper(3))
+		if _, err := proto.Marshal(part); err != nil || scatter.Outcome(part.Outcome) != scatter.Lost {
+			t.Errorf("%s: %v, outcome %v", name, err, scatter.Outcome(part.Outcome))
+		}
+	}
+}
+
+// TestHeadersThatAreNoTextAreHandedOver: a value that is not UTF-8 reaches the other
+// host unchanged.
+func TestHeadersThatAreNoTextAreHandedOver(t *testing.T) {
+	want := http.Header{"X-Name": {"caf\xe9", "plain"}, "X-Plain": {"caf\u00e9"}}
+	encoded, err := proto.Marshal(&edgepb.RunRequest{Headers: encodeHeaders(want)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded edgepb.RunRequest
+	if err := proto.Unmarshal(encoded, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if got := decodeHeaders(decoded.Headers); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
