--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -126,7 +126,7 @@
 		e.noteSuspect(u, r)
 	case Unreached:
 		if a.cancelled {
-			return // the caller disconnected before the request was sent
+			return // this host cancelled it before it was sent
 		}
 		u.backOff(now)
 		e.noteSuspect(u, r)
@@ -141,8 +141,8 @@
 // recordLost records an attempt whose answer did not come. It is ignored if this host
 // cancelled the attempt, since that is no evidence against the upstream. It counts
 // whether or not the caller still waits: a request that must not run twice is not
-// cancelled when its caller disconnects. It does not count against the fingerprint if the deadline has passed or
-// if another upstream has answered.
+// cancelled when its caller disconnects. It does not count against the fingerprint if
+// the deadline has passed or if another upstream has answered.
 func (e *Engine) recordLost(now time.Time, a *attempt, r AttemptEnded, ratio float64) {
 	u, c := a.to, a.part.call
 	if a.cancelled {
