An answer voids the crashes that other hosts report

What callers could see: a sound question that many ask is quarantined when its upstreams crash together a second time within ten minutes, e.g. because they go down and up by turns.

Cause: an answer cleared only the finding of the host that got it. The finding of a host that seldom has this question stayed and counted as the first crash of a chain, to which the second common crash added another.

Change: at a host that has had an answer since, reported crashes count neither for the quarantine nor for the order of new ones.

Conclusion: clearing has to reach as far as the evidence that it refutes.

--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -88,6 +88,9 @@
 	at       time.Time // when this host lost the answer or received the report
 	seenHere bool      // found by this host
 	reported bool      // by another host
+	// survived is true once an upstream has answered such a request here since, so that
+	// the request cannot have been the cause. The report of another host may remain.
+	survived bool
 }
 
 // upstreamLosses are the lost answers of an upstream that is being checked.
@@ -176,7 +179,7 @@
 func (s *suspectFingerprint) orderOf(sentAt time.Time, at UpstreamStart) int {
 	order := 1
 	for other, c := range s.crashes {
-		if other != at && !sentAt.Before(c.at.Add(crashSpread)) {
+		if other != at && !c.survived && !sentAt.Before(c.at.Add(crashSpread)) {
 			order = max(order, c.order+1)
 		}
 	}
@@ -186,7 +189,9 @@
 // count returns how many crashes count against the fingerprint.
 func (s *suspectFingerprint) count() (highest int) {
 	for _, c := range s.crashes {
-		highest = max(highest, c.order)
+		if !c.survived {
+			highest = max(highest, c.order)
+		}
 	}
 	return highest
 }
@@ -293,7 +298,8 @@
 }
 
 // clear removes this host's own findings against a fingerprint, after an upstream
-// has answered such a request and thus survived it.
+// has answered such a request and thus survived it. Those of other hosts no longer
+// count here.
 func (q *quarantine) clear(fingerprint core.Fingerprint) (changed bool) {
 	delete(q.abandoned, fingerprint)
 	s := q.suspects[fingerprint]
@@ -303,7 +309,7 @@
 	s.answered = true
 	for _, e := range s.crashes {
 		changed = changed || e.seenHere
-		e.seenHere = false
+		e.seenHere, e.survived = false, true
 	}
 	q.drop(func(e *crash) bool { return !e.seenHere && !e.reported })
 	return changed
--- a/core/scatter/quarantine_test.go
+++ b/core/scatter/quarantine_test.go
@@ -428,3 +428,29 @@
 		t.Errorf("%d are kept, want 4096", refused)
 	}
 }
+
+// TestAnsweredRequestIsNotQuarantinedForReportedCrashes: after an answer, the crash that
+// another host has found no longer counts, though its report remains.
+func TestAnsweredRequestIsNotQuarantinedForReportedCrashes(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	reported := scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": suspectWith("old-a", 1)}}
+	r.step(reported)
+	crashing := false
+	down := r.crashUpstreams(func(scatter.Send) bool { return crashing })
+	ask := func(want scatter.AnswerKind) {
+		t.Helper()
+		call := r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest})
+		r.run(300 * ms)
+		r.want(call, want)
+	}
+	ask(scatter.PassedOn)
+	r.step(reported)
+	r.run(time.Second)
+	crashing = true
+	ask(scatter.UpstreamsFailed)
+	crashing = false
+	clear(down)
+	r.run(3 * time.Second)
+	ask(scatter.PassedOn)
+}
--- a/core/scatter/quarantine_tier_test.go
+++ b/core/scatter/quarantine_tier_test.go
@@ -249,6 +249,15 @@
 			t.Fatalf("seed %d: %d upstreams crashed", seed, len(s.crashed))
 		}
 		checkServed("after the upstreams are back")
+		if seed%2 == 0 { // they crash once more
+			for _, u := range s.upstreams() {
+				at := s.now.Add(2*time.Second + time.Duration(s.random.Int64N(int64(50*ms))))
+				s.crashAt[u.ID] = at
+				s.later.Add(at, func() { s.crash(u.ID, 4500*ms) })
+			}
+			askFor(8 * time.Second)
+			checkServed("after they crashed twice")
+		}
 		for n := range s.hosts {
 			s.start(n)
 		}
