A reader notices a silent store within the drain time

What can be seen: hosts follow two readers of the store. If the store leaves both without an answer, they noticed it after up to 0.75 of the contact time, 3 s with that of the first deployments, which is the whole drain time; meanwhile their followers use upstreams that are gone.

Change: a watch waits 0.4 of the contact time in the store (0.5 before) and may take 0.2 longer (0.25). Idle readers make a quarter more calls.

--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -18,9 +18,10 @@
 	//
 	// watchWaitShare is how long a watch call waits in the store, and
 	// watchSlackShare how much longer the call may take. A watch that the store
-	// has lost fails after the sum of both.
-	watchWaitShare  = 0.5
-	watchSlackShare = 0.25
+	// has lost fails after the sum of both; until then the hosts that follow this
+	// one use upstreams that are gone.
+	watchWaitShare  = 0.4
+	watchSlackShare = 0.2
 	// probeWatchWait is how long the first watch after a failed call waits in
 	// the store.
 	probeWatchWait = 20 * time.Millisecond
