--- a/core/scatter/probe.go
+++ b/core/scatter/probe.go
@@ -6,7 +6,7 @@
 // others once an upstream has answered. One that crashes upstreams then takes down one
 // more of them, not one of each shard.
 
-// startProbe sends the first part of a call that can be sent, and holds the others back.
+// startProbe sends the first part of a call and holds the others back.
 func (e *Engine) startProbe(now time.Time, c *call) {
 	e.note(Note{
 		Decision: DecisionProbe, RequestID: c.request.RequestID, Fingerprint: c.request.Fingerprint, Route: c.route.Name, Version: c.config.Version,
--- a/edge/conn_pool.go
+++ b/edge/conn_pool.go
@@ -32,8 +32,8 @@
 	// poolSweepInterval is the interval at which expired idle connections are
 	// closed.
 	poolSweepInterval = time.Second
-	// maxCarried is how many unexpired requests a connection has carried at most.
-	// One that has carried more is not reused.
+	// maxCarried bounds the memory of a connection: one that has carried more
+	// requests whose deadlines have not passed is not reused.
 	maxCarried = 1024
 )
 
