What older builds report of a request counts as one crash

Cause: the crashes in one older host's record were read as a chain.

Change: an entry without an order has the order 1, so that records of older builds alone put nothing in quarantine; one more crash that a newer host finds does.

Evidence: TestQuarantineCombinesFindingsOfHosts (crashes of one host, older build) failed before; TestQuarantineBesideOlderBuilds: one send, then refused. Records that this build writes have an order, so nothing changes where all hosts run it.

Conclusion: what an older build wrote can be trusted as far as that build could tell.

--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -167,8 +167,8 @@
 	UpstreamStart
 	// Order is the place of the crash in a chain of crashes, from 1: its host sent the
 	// request after it had recorded a crash of the order before. Crashes of the same
-	// order may have one common cause. A record without orders, of an older build, lists
-	// crashes that followed on each other.
+	// order may have one common cause. It is 0 in records of older builds, which do not
+	// tell such crashes apart, and counts as 1.
 	Order int
 }
 
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -282,10 +282,8 @@
 			continue // this host's own record, which may be outdated
 		}
 		for _, suspect := range byHost[by] {
-			for i, c := range suspect.Ended {
-				if c.Order <= 0 {
-					c.Order = i + 1
-				}
+			for _, c := range suspect.Ended {
+				c.Order = max(1, c.Order)
 				found = append(found, q.add(now, now, q.suspect(suspect.Fingerprint), suspect.Fingerprint, c, by)...)
 			}
 		}
--- a/core/scatter/quarantine_test.go
+++ b/core/scatter/quarantine_test.go
@@ -29,15 +29,26 @@
 	return down
 }
 
-// suspectOf returns the findings of a host that does not state the order of crashes.
+// suspectOf returns the findings of a host in whose sight crashes followed on each
+// other.
 func suspectOf(crashed ...core.UpstreamID) []scatter.Suspect {
 	s := scatter.Suspect{Fingerprint: crashingRequest}
-	for _, id := range crashed {
-		s.Ended = append(s.Ended, scatter.Crash{UpstreamStart: scatter.UpstreamStart{ID: id}})
+	for i, id := range crashed {
+		s.Ended = append(s.Ended, scatter.Crash{UpstreamStart: scatter.UpstreamStart{ID: id}, Order: i + 1})
 	}
 	return []scatter.Suspect{s}
 }
 
+// olderSuspectOf returns the findings of a host of an older build, which does not state
+// the order of crashes.
+func olderSuspectOf(crashed ...core.UpstreamID) []scatter.Suspect {
+	suspects := suspectOf(crashed...)
+	for i := range suspects[0].Ended {
+		suspects[0].Ended[i].Order = 0
+	}
+	return suspects
+}
+
 // suspectWith returns the finding of one crash.
 func suspectWith(id core.UpstreamID, order int) []scatter.Suspect {
 	return []scatter.Suspect{{Fingerprint: crashingRequest, Ended: []scatter.Crash{{UpstreamStart: scatter.UpstreamStart{ID: id}, Order: order}}}}
@@ -72,7 +83,8 @@
 	for name, seen := range map[string]map[core.HostID][]scatter.Suspect{
 		"one crash found by two hosts":           {"host-2": suspectOf("files-a"), "host-3": suspectOf("files-a")},
 		"crashes at the same time":               {"host-2": suspectWith("files-a", 1), "host-3": suspectWith("files-b", 1)},
-		"crashes at the same time, older builds": {"host-2": suspectOf("files-a"), "host-3": suspectOf("files-b")},
+		"crashes at the same time, older builds": {"host-2": olderSuspectOf("files-a"), "host-3": olderSuspectOf("files-b")},
+		"crashes of one host, older build":       {"host-2": olderSuspectOf("files-a", "files-b")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
@@ -85,6 +97,23 @@
 	}
 }
 
+// TestQuarantineBesideOlderBuilds: where older builds report any number of crashes, one
+// more that is found here is enough.
+func TestQuarantineBesideOlderBuilds(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": olderSuspectOf("old-a", "old-b")}})
+	r.run(time.Second)
+	r.crashUpstreams(func(scatter.Send) bool { return true })
+	call := r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest})
+	r.run(100 * ms)
+	r.want(call, scatter.UpstreamsFailed)
+	r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest}), scatter.Refused)
+	if len(r.sends) != 1 {
+		t.Errorf("%d sends", len(r.sends))
+	}
+}
+
 // TestQuarantineAppliesToRunningCalls: no waiting, retried or hedged part is sent
 // once the quarantine has begun.
 func TestQuarantineAppliesToRunningCalls(t *testing.T) {
--- a/core/scatter/restore_test.go
+++ b/core/scatter/restore_test.go
@@ -43,9 +43,6 @@
 	r.configure(1, 2)
 	other, mine := core.FingerprintOf([]byte("other")), core.FingerprintOf([]byte("mine"))
 	ended := suspectOf("x-1", "x-2", "x-3")[0].Ended
-	for i := range ended {
-		ended[i].Order = i + 1
-	}
 	stored := map[core.HostID][]scatter.Suspect{"host-1": {{Fingerprint: mine, Ended: ended[:1]}}, "host-2": {{Fingerprint: other, Ended: ended}}}
 	r.step(scatter.SuspectsSeen{ByHost: stored})
 	refused := func(when string) {
