After a restore, hosts store again what older builds count as enough

Traced from its log, not run again until green: the test's record is of the form of older builds, whose two crashes count as one since, so the host no longer took them over when the store lost them.

Cause: adopt asked for a quarantine here. Hosts of older builds count each upstream, and their quarantine would end with the lost record.

The test is unchanged.

Evidence: it passes, as do the tests of edge on restores and the quarantine and those of core/scatter.

--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -251,10 +251,11 @@
 }
 
 // adopt makes the findings of other hosts this host's own where they are enough for a
-// quarantine. The store may have lost them together with the hosts that found them.
+// quarantine, here or at hosts of older builds, which count each upstream. The store may
+// have lost them together with the hosts that found them.
 func (q *quarantine) adopt() {
 	for _, s := range q.suspects {
-		if s.count() < quarantineAfter {
+		if len(s.crashes) < quarantineAfter {
 			continue
 		}
 		for _, e := range s.crashes {
