Callers belong to teams and are identified by keys

Cause: nothing read the teams of a configuration.

The gatherer that decides takes the team from the same configuration version as the route. No or an unknown key gets 401 at once; while a newer version may hold the key, 503. Each send carries the identity, and the adapter replaces Authorization and Tenant by it, on direct sends and on those through relays. A team's priority and regions count besides those of the route. With revoke_strict, keys that could not be confirmed for revoke_ms are refused. Teams that make no sense are left out with one log line each that never contains a key. Without a list of teams nothing changes.

Tests: core/scatter/team_test.go, platform/teams_test.go; all fail to compile without the change.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -80,6 +80,8 @@
 	Repeatable bool
 	// Version is the configuration version behind the decision.
 	Version uint64
+	// Identity is on whose behalf the request is sent.
+	Identity Identity
 	// Via is the host that relays this send and the others of its call; the zero
 	// value is a direct send.
 	Via Host
@@ -153,9 +155,13 @@
 	// Interrupted: this host cannot answer the request of another host any more. It
 	// may have run, and its route allows another run.
 	Interrupted
+	// Unauthorized: the route requires a key, and the request has no valid one.
+	Unauthorized
+	// OverQuota: the request is beyond the quota of its team; it has not run.
+	OverQuota
 )
 
-var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out", "declined", "interrupted"}
+var answerNames = [...]string{"passed on", "gathered", "no route", "refused", "upstreams failed", "timed out", "declined", "interrupted", "unauthorized", "over quota"}
 
 // String returns the kind as the log prints it.
 func (k AnswerKind) String() string { return answerNames[k] }
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -340,7 +340,7 @@
 	service := c.config.Services[p.service]
 	u, _ := e.directory.pick(now, pickConstraints{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
-		allowed:     e.regionFilter(c.route),
+		allowed:     e.regionFilter(c),
 		reachable:   e.reaches(now, c),
 		only:        e.onlyUpstream(now, p),
 		tried:       p.tried,
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -59,11 +59,20 @@
 		e.out.Answers = append(e.out.Answers, Answer{Call: a.Call, Kind: Declined})
 		return
 	}
+	team, ok := e.config.identify(route, a)
+	if !ok {
+		e.unauthorized(now, a, route)
+		return
+	}
+	if team != nil && e.keysUnconfirmed(now) {
+		e.refuseUnrouted(now, a, "the key cannot be confirmed")
+		return
+	}
 	if !e.mayTryUpstreams(now, route) {
 		e.refuseUnrouted(now, a, unreachableUpstreams+", and no other host accepts the request")
 		return
 	}
-	c := e.newCall(a, route)
+	c := e.newCall(a, route, team)
 	if usual := e.usualLatency(route, c.parts[0].service).estimate; !e.endsBeforeStop(now, c.wanted, usual) {
 		e.refuse(now, c, "this host stops before the request is expected to end")
 		return
@@ -104,8 +113,8 @@
 
 // newCall creates the call of a request, with one part for each service that
 // contributes to the answer.
-func (e *Engine) newCall(a RequestArrived, route *Route) *call {
-	c := &call{id: a.Call, request: a, route: route, config: e.config}
+func (e *Engine) newCall(a RequestArrived, route *Route, team *Team) *call {
+	c := &call{id: a.Call, request: a, route: route, team: team, config: e.config}
 	budget := route.Timeout
 	if a.Budget > 0 {
 		budget = min(budget, e.answerBudget(a.Budget))
@@ -181,9 +190,9 @@
 	return "too few services have an upstream"
 }
 
-// regionFilter returns a predicate for the failure domains that a route allows.
-func (e *Engine) regionFilter(r *Route) func(core.DomainID) bool {
-	return func(id core.DomainID) bool { return r.allowsRegion(e.options.Regions[id]) }
+// regionFilter returns a predicate for the failure domains that a call may use.
+func (e *Engine) regionFilter(c *call) func(core.DomainID) bool {
+	return func(id core.DomainID) bool { return c.allowsRegion(e.options.Regions[id]) }
 }
 
 // queueDeadline returns until when a part may wait for a free upstream. A request
@@ -244,7 +253,7 @@
 	service := c.config.Services[p.service]
 	u, busy := e.directory.pick(now, pickConstraints{
 		service:      Service{ID: p.service, ColdRate: service.ColdRate},
-		allowed:      e.regionFilter(c.route),
+		allowed:      e.regionFilter(c),
 		reachable:    e.reaches(now, c),
 		only:         e.onlyUpstream(now, p),
 		tried:        p.tried,
@@ -294,6 +303,7 @@
 		Deadline:    c.deadline,
 		Repeatable:  c.route.Repeatable,
 		Version:     c.config.Version,
+		Identity:    c.identity(),
 
 		LimitKnownAt: u.limit.knownAt(now),
 	}
--- a/core/scatter/config.go
+++ b/core/scatter/config.go
@@ -15,6 +15,8 @@
 	Routes   []*Route
 	Services map[core.ServiceID]Service
 	Limits   CallerLimits
+	// Teams are the teams that callers belong to; nil if callers need no key.
+	Teams *Teams
 
 	byHost map[string][]*Route
 }
@@ -49,6 +51,8 @@
 	// Regions are the regions whose upstreams may run the route's requests; empty
 	// allows all.
 	Regions []RegionID
+	// Public routes need no key.
+	Public bool
 	// Repeatable requests may run more than once.
 	Repeatable bool
 	// Timeout is the maximum time to answer a request, Target the time within
@@ -76,7 +80,13 @@
 
 // allowsRegion reports whether upstreams of a region may run the route's requests.
 func (r *Route) allowsRegion(region RegionID) bool {
-	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+	return includesRegion(r.Regions, region)
+}
+
+// includesRegion reports whether a list of allowed regions, which is empty if all are
+// allowed, includes a region.
+func includesRegion(allowed []RegionID, region RegionID) bool {
+	return len(allowed) == 0 || slices.Contains(allowed, region)
 }
 
 // Target is one service of a route and its share of the requests.
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -301,7 +301,15 @@
 // stale reports whether the registry has been unreachable for so long that other
 // hosts may have newer entries.
 func (d *directory) stale(now time.Time) bool {
-	return !d.reachable && now.Sub(d.reachableAt) > staleAfter
+	return d.unreachableFor(now) > staleAfter
+}
+
+// unreachableFor returns for how long the registry has been unreachable.
+func (d *directory) unreachableFor(now time.Time) time.Duration {
+	if d.reachable {
+		return 0
+	}
+	return now.Sub(d.reachableAt)
 }
 
 // expire removes the upstreams whose entries are still missing when the grace
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -27,6 +27,8 @@
 	Relay bool
 	// FirstStart is true when no host of the tier has run before.
 	FirstStart bool
+	// Revocation bounds how long unconfirmed keys are accepted.
+	Revocation Revocation
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -88,6 +90,8 @@
 	// DirectFailures counts the attempts of open calls that failed on the way from
 	// this host to the upstream or there, RelayedFailures those sent through a relay.
 	DirectFailures, RelayedFailures uint64
+	// Unauthorized counts the requests without a valid key.
+	Unauthorized uint64
 	// Partitions counts how often this host lost its connections to the upstreams.
 	Partitions uint64
 }
@@ -100,6 +104,7 @@
 	id      core.CallID
 	request RequestArrived
 	route   *Route
+	team    *Team // nil if the caller is not identified
 	config  *Config
 	parts   []*part
 	// deadline is when the call ends without an answer: when its caller stops
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -24,6 +24,9 @@
 	At time.Time
 	// Fingerprint identifies the content of the request, whichever caller sends it.
 	Fingerprint core.Fingerprint
+	// Key is the digest of the caller's key, if HasKey is set.
+	Key    KeyDigest
+	HasKey bool
 	// HasBody is true if the request has a body, which may be empty.
 	HasBody bool
 	// FromHost is true if another host received the request and hands it over.
--- a/core/scatter/queue.go
+++ b/core/scatter/queue.go
@@ -103,8 +103,8 @@
 }
 
 // before reports whether the parts of a call are served before those of another:
-// calls that can still meet their target first, then by priority of the route,
-// then in order of arrival. All queues of all hosts use the same order, so that
+// calls that can still meet their target first, then by priority of
+// the team or route, then in order of arrival. All queues of all hosts use the same order, so that
 // the parts of a gather are served at about the same time.
 func (c *call) before(now time.Time, other *call) bool { return compareCalls(now, c, other) < 0 }
 
@@ -115,8 +115,8 @@
 		}
 		return -1
 	}
-	if a.route.Priority != b.route.Priority {
-		return a.route.Priority - b.route.Priority
+	if aRank, bRank := a.priority(), b.priority(); aRank != bRank {
+		return aRank - bRank
 	}
 	return a.request.At.Compare(b.request.At)
 }
--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -221,6 +221,7 @@
 	defer f.remove(call)
 	arrived.Call, arrived.RequestID, arrived.Host, arrived.Path = call, request.ID, request.Host, request.Path
 	arrived.Budget, arrived.Fingerprint, arrived.HasBody = request.Budget, request.Fingerprint, request.Message.Framed
+	arrived.Key, arrived.HasKey = request.Key, request.HasKey
 	if !f.tryEnqueue(arrived) {
 		f.metrics.inboxFull.Inc(1)
 		return scatter.Answer{Kind: scatter.Refused, RetryAfter: refusalRetryAfter}, false
--- a/edge/host.go
+++ b/edge/host.go
@@ -144,6 +144,7 @@
 		Relay:        h.settings.RelayParts,
 		AssumedHosts: h.settings.AssumedHosts,
 		FirstStart:   h.platformSettings.FirstStart,
+		Revocation:   h.platformSettings.Revocation,
 		Random:       rand.Float64,
 	})
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -111,7 +111,7 @@
 	set("store_calls", int64(h.objects.Calls()))
 	for name, value := range map[string]uint64{
 		"requests": stats.Requests, "answered": stats.Answered, "gathered": stats.Gathered, "partial": stats.Partial,
-		"refused": stats.Refused, "failed": stats.Failed, "timed_out": stats.TimedOut, "no_route": stats.NoRoute,
+		"refused": stats.Refused, "failed": stats.Failed, "timed_out": stats.TimedOut, "no_route": stats.NoRoute, "unauthorized": stats.Unauthorized,
 		"sends": stats.Sends, "relayed": stats.Relayed, "hedges": stats.Hedges, "retries": stats.Retries, "extra_denied": stats.ExtraDenied,
 		"late_replies": stats.Late, "callers_gone": stats.CallersGone,
 		"questions_suspected": stats.Accused, "questions_quarantined": stats.Quarantined, "quarantine_refused": stats.QuarantineRefused,
--- a/edge/relay_client.go
+++ b/edge/relay_client.go
@@ -328,7 +328,7 @@
 func encodeRelay(call *relayCall, refs upstreamRefs) *edgepb.RelayRequest {
 	m, first := call.request.Message, call.sends[0]
 	r := &edgepb.RelayRequest{
-		Id: call.id, ConfigVersion: first.Version, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.Header),
+		Id: call.id, ConfigVersion: first.Version, Method: m.Method, Host: m.Host, Target: m.Target, Headers: encodeHeaders(m.HeaderAs(first.Identity)),
 		LeftUs: time.Until(first.Deadline).Microseconds(),
 		Top:    int32(first.Top),
 	}
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -229,14 +229,14 @@
 	}
 	left := time.Until(send.Deadline)
 	if forward.BodySize() < largeBodyBytes {
-		if err := forward.Write(c.writer, send.Target, left); err != nil {
+		if err := forward.Write(c.writer, send.Target, send.Identity, left); err != nil {
 			return nil, false, err
 		}
 		reply, err = forward.ReadReply(c.reader, send.Top, s.memory)
 		return reply, true, err
 	}
 	written := make(chan error, 1)
-	go func() { written <- forward.Write(c.writer, send.Target, left) }()
+	go func() { written <- forward.Write(c.writer, send.Target, send.Identity, left) }()
 	reply, err = forward.ReadReply(c.reader, send.Top, s.memory)
 	select {
 	case writeErr := <-written:
