An answer with an impossible status is no answer

Cause: the reader of upstreams' answers skipped every status below 200 as interim and accepted all above. After "000" (or 001, 099, 101, or +20, which net/http accepts) the bytes that followed on the connection passed for the answer: TestFaultyOnlyServer got 200 from a server that sends status 000 before a sound answer, and 600 or 999 were passed on to callers. The store's client was not concerned: each such status already counts as "may have run".

Change: internal/httpstatus checks each status that is read from a connection. One outside 100 to 599, with a sign, or 101 ends the connection and counts as a lost answer, so the request or part goes elsewhere if it may, and is answered 502 at once otherwise.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -34,6 +34,8 @@
 	version int               // latest version of the configuration
 	// firstStart is true when the whole tier starts for the first time.
 	firstStart bool
+	// teams is the list of teams in the configuration; nil for none.
+	teams []map[string]any
 	// idleTimeout is the configured idle timeout of callers' connections.
 	idleTimeout time.Duration
 	// prepareHost, if set, changes a host before it runs.
@@ -114,7 +116,7 @@
 	for _, name := range append([]string{fetch, "orders"}, shards...) {
 		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 24, "warmup_s": 3, "warmup_per_s": 0})
 	}
-	cluster.put("config", "main", map[string]any{
+	config := map[string]any{
 		"version": cluster.version,
 		"routes": []any{
 			route("/gather/", "idempotent", map[string]any{"gather": shards, "top_k": 3, "min_coverage": 0.5}),
@@ -123,7 +125,11 @@
 		},
 		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": cluster.idleTimeout.Milliseconds()},
-	})
+	}
+	if cluster.teams != nil {
+		config["tenants"] = cluster.teams
+	}
+	cluster.put("config", "main", config)
 }
 
 // startHost starts a host in the failure domain d1 and waits until it is ready.
@@ -247,6 +253,11 @@
 
 // request sends a caller's request to the host.
 func (h *testHost) request(method, path, id, body string) callerReply {
+	return h.requestAs("", method, path, id, body)
+}
+
+// requestAs sends a caller's request with a key; an empty key sends none.
+func (h *testHost) requestAs(key, method, path, id, body string) callerReply {
 	request, err := http.NewRequest(method, "http://"+h.platformSettings.Callers+path, strings.NewReader(body))
 	if err != nil {
 		h.t.Fatal(err)
@@ -254,6 +265,10 @@
 	request.Host = "h.example"
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "1500")
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+		request.Header.Set("Tenant", "forged")
+	}
 	response, err := h.client.Do(request)
 	if err != nil {
 		return callerReply{err: err}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -91,6 +91,7 @@
 		{"truncated", serverstub.Truncate, 1, http.StatusBadGateway},
 		{"truncated in its head", serverstub.TruncateHead, 1, http.StatusBadGateway},
 		{"rubbish", serverstub.MalformedAnswer, 1, http.StatusBadGateway},
+		{"status 000", serverstub.OddStatus, 1, http.StatusBadGateway},
 		{"unframed", serverstub.Unframed, 1, http.StatusOK},
 		{"extra answer", serverstub.Extra, 1, http.StatusOK},
 		{"failure", serverstub.Fail, 1, http.StatusInternalServerError},
@@ -119,7 +120,7 @@
 	cluster := newTwoShardCluster(t)
 	h := cluster.startHost("host-1", 1)
 	for i, fault := range []serverstub.Fault{
-		serverstub.LoseAnswer, serverstub.Truncate, serverstub.TruncateHead, serverstub.MalformedAnswer, serverstub.Fail, serverstub.Shed, serverstub.WrongInstance,
+		serverstub.LoseAnswer, serverstub.Truncate, serverstub.TruncateHead, serverstub.MalformedAnswer, serverstub.OddStatus, serverstub.Fail, serverstub.Shed, serverstub.WrongInstance,
 	} {
 		cluster.servers["a1"].SetFault(fault)
 		for round := range 5 {
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -39,6 +39,8 @@
 	Unframed
 	// MalformedAnswer sends bytes that are no HTTP answer.
 	MalformedAnswer
+	// OddStatus sends each answer with the status 000, followed by a sound answer.
+	OddStatus
 	// Fail runs each request and answers 500.
 	Fail
 	// Shed refuses each request with 503 without running it.
@@ -115,7 +117,8 @@
 	waiting      int
 	runs         map[string]int // number of runs by request id
 	bodies       map[string]string
-	refused      map[string]bool // by request id, under LateRejection
+	headers      map[string][]http.Header // of all sends, by request id
+	refused      map[string]bool          // by request id, under LateRejection
 	arrived      int
 }
 
@@ -125,7 +128,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	s := &Server{config: config, address: listener.Addr().String(), runs: map[string]int{}, bodies: map[string]string{}, refused: map[string]bool{}}
+	s := &Server{config: config, address: listener.Addr().String(), runs: map[string]int{}, bodies: map[string]string{}, headers: map[string][]http.Header{}, refused: map[string]bool{}}
 	s.startProcess(listener)
 	return s, nil
 }
@@ -259,6 +262,13 @@
 	return s.runs[requestID], s.bodies[requestID]
 }
 
+// Headers returns the headers of all runs of a request.
+func (s *Server) Headers(requestID string) []http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.headers[requestID])
+}
+
 // Arrived returns the number of requests received, including those that were
 // shed. Requests that were refused under the Early fault are not counted.
 func (s *Server) Arrived() int {
@@ -361,6 +371,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.bodies[id] = body
+	s.headers[id] = append(s.headers[id], r.Header)
 	if deadly {
 		s.crashTimes = append(s.crashTimes, time.Now())
 	}
@@ -425,6 +436,8 @@
 	case MalformedAnswer:
 		write("\x16\x03\x01 this is no answer\r\n\r\n")
 		return false
+	case OddStatus:
+		return write(strings.Replace(head, status, "000", 1) + "Content-Length: 0\r\n\r\n" + framed)
 	case Unframed:
 		write(head + "Connection: close\r\n\r\n" + string(s.config.Body))
 		return false
--- a/upstream/http_test.go
+++ b/upstream/http_test.go
@@ -285,3 +285,14 @@
 		t.Errorf("after an answer: %v on %d connections", r.Kind, client.Conns("u"))
 	}
 }
+
+// TestOddStatusIsNoAnswer guards against an impossible status that passes for an interim
+// one, so that the bytes after it are taken for the answer.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999", "1000", "+20", " 20"} {
+		answer := "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		if got := readResult(bufio.NewReader(strings.NewReader(answer)), 100); got.err == nil {
+			t.Errorf("status %q is taken for an answer with status %d", status, got.response.StatusCode)
+		}
+	}
+}
--- a/upstream/run.go
+++ b/upstream/run.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/internal/httpstatus"
 )
 
 // errTooLarge means that the body of an answer exceeds Config.MaxBody.
@@ -152,6 +153,9 @@
 		if err != nil {
 			return result{err: err}
 		}
+		if err := httpstatus.Check(response); err != nil {
+			return result{err: err}
+		}
 		if response.StatusCode >= 200 {
 			return readBody(response, maxBody)
 		}
