Teams share the upstreams' time fairly within a priority

Cause: queues were ordered by priority and arrival.

Ruled out: start-time tags given at arrival.

Change: core/scatter/fair_share.go keeps the upstreams' time that each team has used by this host's sends; within a priority the team with the least goes first. Only configurations with teams are concerned.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -135,6 +135,9 @@
 		parts[i] = part{call: c, service: id}
 		c.parts[i] = &parts[i]
 	}
+	if c.config.Teams != nil {
+		c.share = e.fairShares.join(c.identity().Team)
+	}
 	return c
 }
 
@@ -291,6 +294,7 @@
 	p.pending++
 	p.sends++
 	p.waiting = false
+	e.fairShares.charge(c.share, usual)
 	e.attempts[a.id] = a
 	e.stats.Sends++
 	e.domains.recordSend(now, u.Domain)
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -55,6 +55,7 @@
 	queues             map[core.ServiceID]*queue
 	quarantine         *quarantine
 	admission          admission
+	fairShares         fairShares
 	domains            domainMonitor
 	domainWatchStarted bool
 	connectivity       connectivity
@@ -116,6 +117,8 @@
 	// expectedQueueWait is the expected time until the queues have room for a
 	// call that they refuse.
 	expectedQueueWait time.Duration
+	// share is that of the call's team; nil if the configuration has no teams.
+	share *teamShare
 	// queued is true if the parts were expected to wait in the queues.
 	queued bool
 	done   bool
--- a/core/scatter/queue.go
+++ b/core/scatter/queue.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -103,9 +104,9 @@
 }
 
 // before reports whether the parts of a call are served before those of another:
-// calls that can still meet their target first, then by priority of
-// the team or route, then in order of arrival. All queues of all hosts use the same order, so that
-// the parts of a gather are served at about the same time.
+// calls that can still meet their target first, then by priority of the team or route, then
+// by the fair shares of teams, then in order of arrival. All queues of a host use the same
+// order, so that the parts of a gather are served at about the same time.
 func (c *call) before(now time.Time, other *call) bool { return compareCalls(now, c, other) < 0 }
 
 func compareCalls(now time.Time, a, b *call) int {
@@ -118,7 +119,7 @@
 	if aRank, bRank := a.priority(), b.priority(); aRank != bRank {
 		return aRank - bRank
 	}
-	return a.request.At.Compare(b.request.At)
+	return cmp.Or(cmp.Compare(a.usedShare(), b.usedShare()), a.request.At.Compare(b.request.At))
 }
 
 // drain empties the queue and returns its parts in the order of service.
