A command that explains where a request would go

Operators could see why a request went where it went only after it was sent. samphirebeam-edge explain asks a host over its metrics address (POST /explain) what it would do now, without sending anything: decision and reason, route, team and quota, hosts to hand over to, and of each service the upstreams with the inputs of the choice and their age.

The choice itself moved into functions that both the engine and the explanation use (unusableFor, handoverCost). TestExplanationMatchesWhatHappens compares an explanation with what then happens; bad input ends with exit code 2 and never repeats a key.

Open: whether the team's quota has room now.

--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -272,33 +272,57 @@
 	bestCost := math.Inf(1)
 	for rank, host := range e.fleet.handoverTargets() {
 		p := e.fleet.peers[host.ID]
-		otherRegion := p != nil && e.options.Regions[p.Domain] != e.options.Regions[e.fleet.domain]
-		if p == nil || otherRegion && h.request.HasBody || h.tried[p.ID] || now.Before(p.backoffUntil) || now.Before(p.partitionedUntil) || !h.stale && now.Before(p.declinedUntil) {
+		if p == nil || h.tried[p.ID] || e.unusableFor(now, h, p) != "" {
 			continue
 		}
-		cost := float64(p.running)/max(p.Cores, 0.01) + e.options.Random()
-		if p.Domain != e.fleet.domain {
-			cost += remoteHandoverCost
-		}
-		if rank >= e.fleet.gatherers() {
-			cost += standbyHandoverCost
-		}
-		if otherRegion {
-			cost += otherRegionHandoverCost
-		}
-		if e.fleet.silent(now, p) {
-			cost += silentHostCost
-		}
-		if d := e.domains.byID[p.Domain]; d != nil && d.unresponsive() {
-			cost += silentDomainHandoverCost
-		}
-		if cost < bestCost {
+		if cost := e.handoverCost(now, p, rank) + e.options.Random(); cost < bestCost {
 			best, bestCost = p, cost
 		}
 	}
 	return best
 }
 
+// unusableFor returns why a request cannot be handed over to a host now; empty if it can.
+func (e *Engine) unusableFor(now time.Time, h *handover, p *peer) string {
+	switch {
+	case e.inOtherRegion(p) && h.request.HasBody:
+		return "in another region, and the request has a body"
+	case now.Before(p.backoffUntil):
+		return "backed off"
+	case now.Before(p.partitionedUntil):
+		return "reaches no upstreams"
+	case !h.stale && now.Before(p.declinedUntil):
+		return "its data was stale"
+	}
+	return ""
+}
+
+func (e *Engine) inOtherRegion(p *peer) bool {
+	return e.options.Regions[p.Domain] != e.options.Regions[e.fleet.domain]
+}
+
+// handoverCost returns the cost of handing a request over to a host of the given rank, in
+// running requests of a host with one core.
+func (e *Engine) handoverCost(now time.Time, p *peer, rank int) float64 {
+	cost := float64(p.running) / max(p.Cores, 0.01)
+	if p.Domain != e.fleet.domain {
+		cost += remoteHandoverCost
+	}
+	if rank >= e.fleet.gatherers() {
+		cost += standbyHandoverCost
+	}
+	if e.inOtherRegion(p) {
+		cost += otherRegionHandoverCost
+	}
+	if e.fleet.silent(now, p) {
+		cost += silentHostCost
+	}
+	if d := e.domains.byID[p.Domain]; d != nil && d.unresponsive() {
+		cost += silentDomainHandoverCost
+	}
+	return cost
+}
+
 // otherRegionHandoverCost is the cost of a host in another region, in running
 // requests. A request with a body is never handed to another region, since this
 // host does not know which regions its route allows.
--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -36,6 +36,9 @@
 	case err == nil:
 	case errors.Is(err, flag.ErrHelp):
 		os.Exit(2)
+	case errors.As(err, new(inputError)):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
 	default:
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -45,13 +48,14 @@
 func command(options []edge.Option) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "samphirebeam-edge",
-		ShortUsage: "samphirebeam-edge <run|check|version> [flags]",
+		ShortUsage: "samphirebeam-edge <run|check|explain|version> [flags]",
 		ShortHelp:  "one host of the query tier on the users' platform",
 		Subcommands: []*ffcli.Command{
 			withSettings("run", "run the host until SIGTERM, then stop gracefully", func(ctx context.Context, settings edge.Settings) error {
 				return run(ctx, settings, options)
 			}),
 			withSettings("check", "validate the settings and print the effective values", check),
+			explainCommand(),
 			{
 				Name: "version", ShortUsage: "samphirebeam-edge version", ShortHelp: "print the version",
 				Exec: func(context.Context, []string) error {
--- a/edge/host.go
+++ b/edge/host.go
@@ -399,6 +399,7 @@
 	if h.metricsListener != nil {
 		router := chi.NewRouter()
 		router.Get("/metrics", h.serveMetrics)
+		router.Post("/explain", h.serveExplain)
 		runServer(func() error { return h.serveUntilClosed(h.metricsListener, router) })
 	}
 }
