Learn how much load each upstream handles well

Cause: hosts place requests by a slowness that is relative to the load and returns to 1 within seconds.

Change: with upstream_capacity: learned in the settings of a host, each upstream has a capacity: latency at low load, recent latency, and a window by the gradient of latency. It places requests, bounds those in flight below today's bounds, withholds hedges from congested upstreams and tries those again that were slow. Pauses, cold upstreams and relayed observations do not change the belief. A change of belief by more than a quarter is logged, at most five per second; four new counters. The default is off.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -212,6 +212,7 @@
 	DecisionUpstreamWithheld       Decision = "upstream_withheld"
 	DecisionUpstreamLimited        Decision = "upstream_limited"
 	DecisionUpstreamUnlimited      Decision = "upstream_limit_lifted"
+	DecisionUpstreamCapacity       Decision = "upstream_capacity"
 	DecisionUpstreamRemoved        Decision = "upstream_removed"
 	DecisionUpstreamKept           Decision = "upstream_kept_without_entry"
 	DecisionConfig                 Decision = "config_in_force"
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -108,6 +108,7 @@
 	case NotRelayed, Withheld:
 	case Succeeded:
 		usual.observe(latency)
+		e.learnCapacity(now, a, r, latency, usual)
 		u.observe(now, ratio, false)
 		if u.backoffs > 0 {
 			e.noteUpstream(u, DecisionUpstreamTrusted)
@@ -346,7 +347,7 @@
 		tried:       p.tried,
 		connections: e.sharesOf(service),
 	})
-	if u == nil || u.stalled(now) || now.Before(u.backoffUntil) {
+	if u == nil || u.stalled(now) || now.Before(u.backoffUntil) || e.directory.withholdsHedge(now, u) {
 		return
 	}
 	e.startAttempt(now, p, u, service)
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -261,6 +261,7 @@
 		avoidStalled: c.route.IsGather(),
 
 		waitsUntil: c.queueDeadline(),
+		mayTry:     c.route.Repeatable && len(p.tried) == 0,
 	})
 	switch {
 	case u != nil:
@@ -283,8 +284,7 @@
 		e.budget(p.service).extras.add(now)
 		c.extras++
 	}
-	e.directory.recordColdSend(now, u, service)
-	u.limit.recordSend(now)
+	e.directory.recordSend(now, u, service)
 	u.running = append(u.running, a)
 	p.tried = append(p.tried, u)
 	p.attempts = append(p.attempts, a)
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -52,6 +52,8 @@
 	// window is the maximum number of requests that this host has in flight at
 	// the upstream. It shrinks when the upstream sheds requests.
 	window float64
+	// capacity is nil unless the capacity of upstreams is learned.
+	capacity *capacity
 
 	slowness          float64 // EWMA of the latency divided by the usual latency
 	failureShare      float64 // EWMA of the share of failed answers
@@ -81,6 +83,10 @@
 	// without having been drained.
 	recentRemovals int
 	removalsSince  time.Time
+	// learnsCapacity enables the learned capacity of upstreams.
+	learnsCapacity bool
+	capacityStats  CapacityStats
+	beliefLog      beliefLog
 	reachable      bool
 	reachableAt    time.Time // when it was last reachable
 	listed         bool
@@ -130,6 +136,9 @@
 		u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
 		u.limit = limitState{RateLimit: known.Limit, since: now, logged: known.Limit.PerSecond}
 		d.updateLimit(now, u, true)
+		if d.learnsCapacity {
+			u.capacity = newCapacity()
+		}
 		d.byID[entry.ID] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
@@ -320,6 +329,8 @@
 	// avoidStalled makes the request wait for an upstream that is at its limit
 	// if all upstreams with free capacity are stalled.
 	avoidStalled bool
+	// mayTry allows an upstream that was slow to be tried again.
+	mayTry bool
 }
 
 // acceptsWork reports whether an upstream may be sent new requests.
@@ -357,11 +368,15 @@
 			}
 			continue
 		}
-		if len(u.running) >= min(l.connections.maxInFlight(u, d.domain), int(u.window)) || !d.coldAllows(now, u, l.service) {
+		if len(u.running) >= min(l.connections.maxInFlight(u, d.domain), int(u.window)) || !d.coldAllows(now, u, l.service) || !d.capacityAllows(u) {
 			busy = true
 			busyNotStalled = busyNotStalled || !u.stalled(now)
 			continue
 		}
+		if l.mayTry && u.capacity.wantsTrial(now, len(u.running)) {
+			d.capacityStats.Trials++
+			return u, false
+		}
 		if cost := d.cost(now, u); cost < bestCost {
 			best, bestCost, stalled = u, cost, u.stalled(now)
 		}
@@ -395,6 +410,7 @@
 func (u *upstream) forgetEstimates() {
 	u.resetBackoff()
 	u.slowness, u.failureShare = 1, 0
+	u.capacity.forget()
 }
 
 // coldAllows reports whether this host may send an upstream one more request as
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -29,6 +29,8 @@
 	FirstStart bool
 	// Revocation bounds how long unconfirmed keys are accepted.
 	Revocation Revocation
+	// LearnCapacity bounds and places requests by the learned capacity of upstreams.
+	LearnCapacity bool
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -94,6 +96,7 @@
 	Unauthorized uint64
 	// Partitions counts how often this host lost its connections to the upstreams.
 	Partitions uint64
+	Capacity   CapacityStats
 }
 
 // timerFunc is called when a timer is due.
@@ -166,7 +169,7 @@
 
 // New returns an Engine without a configuration.
 func New(options Options) *Engine {
-	return &Engine{
+	e := &Engine{
 		options:    options,
 		directory:  newDirectory(options.Self, options.Domain, options.AssumedHosts),
 		fleet:      newFleet(options.Self, options.Domain),
@@ -182,6 +185,8 @@
 
 		connectivity: connectivity{failing: map[*upstream]time.Time{}},
 	}
+	e.directory.learnsCapacity = options.LearnCapacity
+	return e
 }
 
 // Successor returns an engine that replaces this one after an unexpected error.
@@ -194,6 +199,7 @@
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.forSuccessor()
 	next.stats = e.stats
+	next.directory.capacityStats = e.directory.capacityStats
 	return next
 }
 
@@ -235,7 +241,11 @@
 func (e *Engine) Running() int { return len(e.calls) + len(e.handovers) }
 
 // Stats returns the counters.
-func (e *Engine) Stats() Stats { return e.stats }
+func (e *Engine) Stats() Stats {
+	stats := e.stats
+	stats.Capacity = e.directory.capacityStats
+	return stats
+}
 
 // Next returns when the earliest timer is due, or the zero time if there is none.
 func (e *Engine) Next() time.Time { return e.timers.Next() }
--- a/core/scatter/estimates.go
+++ b/core/scatter/estimates.go
@@ -53,6 +53,9 @@
 func (d *directory) cost(now time.Time, u *upstream) float64 {
 	slots := float64(max(1, u.Slots))
 	cost := u.slownessAt(now) * (1 + float64(len(u.running))/slots)
+	if u.capacity != nil {
+		cost = u.capacity.cost(now, len(u.running), u.Slots)
+	}
 	cost += failureCost * u.failureShare * u.decay(now)
 	if u.stalled(now) {
 		cost += stalledCost
--- a/core/scatter/latency.go
+++ b/core/scatter/latency.go
@@ -17,7 +17,11 @@
 
 // latencyEstimate is a running estimate of the median latency of a route's
 // attempts.
-type latencyEstimate struct{ estimate time.Duration }
+type latencyEstimate struct {
+	estimate time.Duration
+	// lowest is measured only if the capacity of upstreams is learned.
+	lowest lowestLatency
+}
 
 const (
 	// latencyStep is the relative change of the estimate by one observation.
--- a/edge/host.go
+++ b/edge/host.go
@@ -140,12 +140,13 @@
 		Extra: scatter.ExtraLimits{
 			Ratio: h.platformSettings.RetryRatio, Allowance: h.platformSettings.RetryAllowance, Window: h.platformSettings.RetryWindow,
 		},
-		AnswerMargin: h.settings.AnswerMargin,
-		Relay:        h.settings.RelayParts,
-		AssumedHosts: h.settings.AssumedHosts,
-		FirstStart:   h.platformSettings.FirstStart,
-		Revocation:   h.platformSettings.Revocation,
-		Random:       rand.Float64,
+		AnswerMargin:  h.settings.AnswerMargin,
+		Relay:         h.settings.RelayParts,
+		AssumedHosts:  h.settings.AssumedHosts,
+		FirstStart:    h.platformSettings.FirstStart,
+		Revocation:    h.platformSettings.Revocation,
+		LearnCapacity: h.settings.UpstreamCapacity == CapacityLearned,
+		Random:        rand.Float64,
 	})
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -118,6 +118,8 @@
 		"limited_sends": stats.LimitedSends, "limited_relayed": stats.LimitedRelayed, "limited_extra": stats.LimitedExtra,
 		"attempts_failed_direct": stats.DirectFailures, "attempts_failed_relayed": stats.RelayedFailures,
 		"partitions": stats.Partitions, "upstreams_limited": stats.Limited, "limit_refused": stats.LimitRefused,
+		"capacity_changes": stats.Capacity.Changes, "capacity_bounded": stats.Capacity.Bounded, "capacity_trials": stats.Capacity.Trials,
+		"capacity_hedges_withheld": stats.Capacity.HedgesWithheld,
 	} {
 		set(name, int64(value))
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -27,6 +27,9 @@
 	// AssumedHosts is the number of hosts by which the tier's budgets are divided
 	// until the number of hosts is known.
 	AssumedHosts int `yaml:"assumed_hosts"`
+	// UpstreamCapacity is learned if requests are bounded and placed by how much
+	// load each upstream was seen to handle well, and off otherwise.
+	UpstreamCapacity string `yaml:"upstream_capacity"`
 	// MetricsPort is the port of /metrics on the host's address; 0 disables it.
 	MetricsPort int `yaml:"metrics_port"`
 	// GarbagePercent is how much the heap may grow between two garbage
@@ -34,15 +37,22 @@
 	GarbagePercent int `yaml:"garbage_percent"`
 }
 
+// The values of Settings.UpstreamCapacity.
+const (
+	CapacityOff     = "off"
+	CapacityLearned = "learned"
+)
+
 // DefaultSettings returns the settings that apply without a settings file.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel:       "info",
-		AnswerMargin:   12 * time.Millisecond,
-		RelayParts:     true,
-		AssumedHosts:   32,
-		MetricsPort:    7390,
-		GarbagePercent: 400,
+		LogLevel:         "info",
+		AnswerMargin:     12 * time.Millisecond,
+		RelayParts:       true,
+		AssumedHosts:     32,
+		UpstreamCapacity: CapacityOff,
+		MetricsPort:      7390,
+		GarbagePercent:   400,
 	}
 }
 
@@ -74,6 +84,8 @@
 		return eris.New("answer_margin: must not be negative")
 	case s.AssumedHosts < 1:
 		return eris.New("assumed_hosts: must be at least 1")
+	case s.UpstreamCapacity != CapacityOff && s.UpstreamCapacity != CapacityLearned:
+		return eris.New("upstream_capacity: must be off or learned")
 	case s.MetricsPort < 0 || s.MetricsPort > 65535:
 		return eris.New("metrics_port: must be a port, or 0")
 	case s.GarbagePercent < 10:
