A host backs off from the store as a whole

Cause: each of the five feeds of a host, its registration and its findings repeated refused calls on their own. If the three readers were refused, all active hosts began to read the store at nearly the same time, and two substitutes that followed each other stopped together and began again. An outdated record started a further registration loop each second. At the start of all hosts most listed the hosts themselves, since the seeds had no list yet, and active hosts listed feeds that streams bring.

Ruled out: longer watches and fewer readers (a lost store or reader would be noticed later); registration through another host (older builds do not know the message).

Change: StoreBackoff decides when a call of a host may start, over all purposes; after a second refusal one call runs at a time, at intervals that follow from rank, number of hosts and whether another host's stream brings the feeds. StoreReading decides who reads: three substitutes first, and the two of highest rank that are served stay until the readers are back. A record that is in the list is not written again; registrations run one at a time. Entry hosts without a stream request the list from other hosts and rarely from the store. Metrics store_calls_PURPOSE.

--- a/edge/host.go
+++ b/edge/host.go
@@ -111,14 +111,13 @@
 	})
 	h.frontend = newFrontend(h.tryEnqueue, h.metrics, memory, h.panics)
 	self := scatter.Host{ID: platformSettings.Host, Domain: platformSettings.Domain, Address: platformSettings.Control, Cores: platformSettings.Cores}
-	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, h.deliver)
-	h.registry.contactTime = platformSettings.Contact
+	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, platformSettings.Contact, h.deliver)
 	h.registry.firstStart = platformSettings.FirstStart
 	h.registry.onHostSeen = func(id core.HostID) { h.tryEnqueue(scatter.HostAlive{ID: id}) }
 	h.registry.followers.onChange = func(followed bool) { h.enqueue(scatter.Followed{ByOthers: followed}) }
 	h.registry.onSilentHosts = func(report scatter.HostsSilent) { h.tryEnqueue(report) }
 	h.registry.onStoreReachable = func(e scatter.StoreReachable) { h.enqueue(e) }
-	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.log, h.panics)
+	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.registry.gate, h.log, h.panics)
 	h.peerServer = newPeerServer(h)
 	h.decision = &decisionLoop{core: h.newCore(), inbox: h.inbox, execute: h.execute, replaceCore: h.replaceCore}
 	for _, option := range options {
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -130,6 +130,13 @@
 	return found
 }
 
+// object returns an object of the state, or an empty one.
+func (h *hub) object(name string) platform.StoredObject {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.objects[name].Object
+}
+
 // publish queues an update for all followers. The caller holds h.mu.
 func (h *hub) publish(u platform.Update) {
 	if len(h.subscribers) == 0 {
--- a/edge/lost_source_test.go
+++ b/edge/lost_source_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/standin/serverstub"
 )
 
@@ -33,7 +34,7 @@
 		})
 	}
 	// Streams are stable, and the hosts that read for a while only have stopped.
-	time.Sleep(stableStreamAfter + time.Second)
+	time.Sleep(scatter.StableStreamAfter + time.Second)
 	followers := 0
 	for _, h := range hosts {
 		if h.registry.current.Load().isReader() {
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -17,32 +17,19 @@
 )
 
 const (
-	// readerCount is how many hosts, the first in rank, read the store for the
-	// others. When they are unreachable, the other hosts try the first
-	// readerCandidates in turn.
-	readerCount      = 3
-	readerCandidates = 8
-	// streamsPerActiveHost is how many readers an active host follows, so that
-	// it stays up to date while one of them is cut off from the store.
-	streamsPerActiveHost = 2
 	// superviseInterval is the interval at which a host adjusts what it reads
 	// and from which hosts.
 	superviseInterval = 200 * time.Millisecond
-	// A host that has had no stream from a reader for storeFallbackDelay reads
-	// the store itself, until a stream has been up for stableStreamAfter. Each
-	// rank adds storeFallbackStagger to the delay: by then a host of higher rank
-	// may already be reading the store and can be followed.
-	storeFallbackDelay   = 300 * time.Millisecond
-	storeFallbackStagger = 50 * time.Millisecond
-	stableStreamAfter    = 5 * time.Second
 	// firstStartDelay gives hosts that start together the time to register
 	// before the list of hosts is first read.
 	firstStartDelay = 400 * time.Millisecond
 	// seedTimeout is how long a host waits for the seeds before it reads the
-	// hosts from the store.
-	seedTimeout = 80 * time.Millisecond
-	// registerRetryDelay is the delay after a failed registration.
-	registerRetryDelay = time.Second
+	// hosts from the store. It is seedFirstTimeout when all hosts start together, and
+	// the seeds read the list at the same time. A seed that does not have it yet is
+	// queried again after seedRetryDelay.
+	seedTimeout      = 80 * time.Millisecond
+	seedFirstTimeout = 300 * time.Millisecond
+	seedRetryDelay   = 30 * time.Millisecond
 	// followRetryDelay is the delay after every reader was tried without
 	// success.
 	followRetryDelay = 150 * time.Millisecond
@@ -57,24 +44,32 @@
 	active bool
 }
 
-// rank returns this host's index in the ranking, at most readerCandidates.
+// rank returns this host's index in the ranking, or the number of hosts if it is not in
+// it, but then at least scatter.StoreCandidates.
 func (p *plan) rank() int {
-	for at, h := range p.ranked[:min(len(p.ranked), readerCandidates)] {
+	for at, h := range p.ranked {
 		if h.ID == p.self.ID {
 			return at
 		}
 	}
-	return readerCandidates
+	return max(scatter.StoreCandidates, len(p.ranked))
+}
+
+// alone reports whether this host knows no other one.
+func (p *plan) alone() bool {
+	return len(p.ranked) == 0 || len(p.ranked) == 1 && p.ranked[0].ID == p.self.ID
 }
 
 // isReader reports whether this host reads the store for other hosts.
-func (p *plan) isReader() bool { return p.rank() < readerCount }
+func (p *plan) isReader() bool { return p.rank() < scatter.StoreReaders }
 
 // registry keeps a host's feeds up to date. A few hosts read the store and
 // stream the updates to the others; a host that reaches none of them reads the
 // store itself.
 type registry struct {
 	objects     *platform.Objects
+	gate        *storeGate
+	registering atomic.Bool // while this host's record is being stored
 	peers       *peers
 	log         zerolog.Logger
 	panics      *panicHandler
@@ -113,8 +108,8 @@
 	started       time.Time
 }
 
-func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, panics *panicHandler, self scatter.Host, seeds []string, deliver func(platform.EventBatch)) *registry {
-	r := &registry{objects: objects, peers: p, log: log, panics: panics, self: self, seeds: seeds, hubs: map[string]*hub{}, silentHosts: newSilentHosts(), followers: newFollowers(), started: time.Now()}
+func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, panics *panicHandler, self scatter.Host, seeds []string, contact time.Duration, deliver func(platform.EventBatch)) *registry {
+	r := &registry{objects: objects, peers: p, log: log, panics: panics, self: self, seeds: seeds, contactTime: contact, hubs: map[string]*hub{}, silentHosts: newSilentHosts(), followers: newFollowers(), started: time.Now()}
 	logAndDeliver := func(batch platform.EventBatch) {
 		for _, problem := range batch.Problems {
 			log.Warn().Str("event", "entry_ignored").AnErr("cause", problem).Msg("ignoring an invalid store entry")
@@ -142,6 +137,7 @@
 	}
 	r.hosts = r.hubs[platform.HostFeedName]
 	r.current.Store(&plan{self: self, active: true})
+	r.gate = newStoreGate(contact, r.storeSituation)
 	return r
 }
 
@@ -159,14 +155,20 @@
 
 // run keeps the feeds up to date until ctx ends.
 func (r *registry) run(ctx context.Context) {
-	go r.register(ctx)
+	supervisor := &registrySupervisor{registry: r}
+	defer supervisor.stopAll()
 	if r.firstStart {
+		supervisor.tasks.Go(func() { r.register(ctx) })
 		pause(ctx, firstStartDelay)
+		r.loadHosts(ctx)
+	} else {
+		// After a restart the list usually holds the record already.
+		r.loadHosts(ctx)
+		supervisor.tasks.Go(func() { r.register(ctx) })
 	}
-	r.loadHosts(ctx)
+	pause(ctx, roleDelay)
+	supervisor.adjustStreams(ctx, r.current.Load())
 	r.loadFeeds(ctx)
-	supervisor := &registrySupervisor{registry: r}
-	defer supervisor.stopAll()
 	supervisor.tasks.Go(func() { r.removeStaleHosts(ctx) })
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
@@ -180,23 +182,6 @@
 	}
 }
 
-// register stores this host's record, and retries until it succeeds or ctx
-// ends.
-func (r *registry) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		self := r.self
-		self.Partitioned = r.partitioned.Load()
-		err := platform.RegisterHost(callCtx, r.objects, self)
-		cancel()
-		if err == nil {
-			return
-		}
-		r.log.Warn().Str("event", "register_failed").AnErr("cause", err).Msg("registering this host failed")
-		pause(ctx, registerRetryDelay)
-	}
-}
-
 // follow applies the updates of a reader's stream until the stream ends. It
 // calls the function up once the stream has brought as many updates as it has feeds.
 func (r *registry) follow(ctx context.Context, reader scatter.Host, feeds []string, up func(scatter.RegistrySource)) (err error) {
@@ -316,6 +301,7 @@
 	for _, name := range feeds {
 		r.hubs[name].sourceChanged(up, from)
 	}
+	r.gate.wake()
 }
 
 // registrySupervisor starts and stops a registry's store readers and streams.
@@ -328,6 +314,8 @@
 	followingSince time.Time // zero while no stream is up
 	lastHostList   time.Time
 	lastFetch      time.Time
+	lastSnapshot   time.Time
+	listInterval   time.Duration
 	lastUpdate     time.Time // of this host's record
 	fetching       atomic.Bool
 	unlistedSince  time.Time // zero while this host is in the list of hosts
@@ -339,8 +327,10 @@
 type streamConfig struct {
 	active bool
 	// readersUp is true when this host is a reader and its store readers work.
-	readersUp  bool
-	candidates [readerCandidates]scatter.Host
+	readersUp bool
+	// substitute is true while this host follows only hosts of higher rank.
+	substitute bool
+	candidates [scatter.StoreCandidates]scatter.Host
 }
 
 // adjust starts and stops store readers, streams and one-time reads according
@@ -360,10 +350,6 @@
 	}
 	w.adjustStreams(ctx, p)
 	w.reregister(ctx)
-	if r.recordOutdated.Load() && time.Since(w.lastUpdate) > registerRetryDelay {
-		w.lastUpdate = time.Now()
-		w.tasks.Go(func() { r.register(ctx) })
-	}
 	if p.active && time.Since(w.lastFetch) > fetchInterval && !r.allFeedsLoaded() && w.fetching.CompareAndSwap(false, true) {
 		w.lastFetch = time.Now()
 		w.tasks.Go(func() {
@@ -371,47 +357,29 @@
 			r.fetchMissingFeeds(ctx)
 		})
 	}
-	sinceStream := time.Since(r.started) - time.Duration(r.lastStreamEnd.Load())
-	cutOff := !following && sinceStream > storeFallbackDelay+time.Duration(p.rank())*storeFallbackStagger
-	stable := following && time.Since(w.followingSince) > stableStreamAfter
-	switch {
-	case w.stopReaders == nil && p.active && cutOff:
+	reading := w.storeReading(p)
+	switch wanted := reading.Wanted(); {
+	case w.stopReaders == nil && wanted:
+		r.gate.doubt()
 		w.startReaders(ctx)
-	case w.stopReaders != nil && !p.isReader() && (stable || !p.active):
+	case w.stopReaders != nil && !wanted:
 		w.stopReaders()
 		w.stopReaders = nil
-	case !p.active && cutOff && time.Since(w.lastHostList) > listHostsInterval:
-		w.lastHostList = time.Now()
-		w.tasks.Go(func() { r.loadHosts(ctx) })
+	case !p.active && reading.Streams == 0:
+		w.refreshHosts(ctx, p, reading.CutOffFor)
 	}
 }
 
-// reregisterDelay is how long a host may be missing from the list of hosts
-// before it registers again.
-const reregisterDelay = 5 * time.Second
-
-// reregister stores this host's record again if another host removed it, or at once
-// if the store lost it.
-func (w *registrySupervisor) reregister(ctx context.Context) {
+// storeReading returns what determines whether this host reads the store.
+func (w *registrySupervisor) storeReading(p *plan) scatter.StoreReading {
 	r := w.registry
-	delay := reregisterDelay
-	if r.hostsRestored.Load() {
-		delay = 0
-	}
-	switch {
-	case !r.hosts.isLoaded():
-		w.unlistedSince = time.Time{}
-	case r.hosts.contains(string(r.self.ID)):
-		r.hostsRestored.Store(false)
-		w.unlistedSince = time.Time{}
-	case w.unlistedSince.IsZero():
-		w.unlistedSince = time.Now()
-	case time.Since(w.unlistedSince) > delay:
-		w.unlistedSince = time.Now()
-		r.hostsRestored.Store(false)
-		r.log.Warn().Str("event", "register_again").Msg("this host is missing from the list of hosts; registering again")
-		w.tasks.Go(func() { r.register(ctx) })
+	reading := scatter.StoreReading{Rank: p.rank(), Active: p.active, Alone: p.alone(), Reading: w.stopReaders != nil, Served: r.storeReadersUp(), Streams: int(r.openStreams.Load())}
+	if reading.Streams == 0 {
+		reading.CutOffFor = time.Since(r.started) - time.Duration(r.lastStreamEnd.Load())
+	} else {
+		reading.UpFor = time.Since(w.followingSince)
 	}
+	return reading
 }
 
 // fetchInterval is the interval at which a host that lacks a feed requests it
@@ -422,14 +390,11 @@
 	fetchCandidates = 16
 )
 
-// listHostsInterval is the interval at which a host that is not active and has
-// no stream reads the list of hosts.
-const listHostsInterval = 15 * time.Second
-
 // adjustStreams replaces the streams when the conditions that determine them
 // have changed.
 func (w *registrySupervisor) adjustStreams(ctx context.Context, p *plan) {
-	wanted := streamConfig{active: p.active, readersUp: p.isReader() && w.registry.storeReadersUp()}
+	reading := w.storeReading(p)
+	wanted := streamConfig{active: p.active, readersUp: p.isReader() && reading.Served, substitute: reading.FollowsHigherRanksOnly()}
 	copy(wanted.candidates[:], p.ranked)
 	if wanted == w.streams {
 		return
@@ -440,7 +405,10 @@
 		w.stopFollowing = nil
 	}
 	var others []scatter.Host
-	for _, h := range p.ranked[:min(len(p.ranked), readerCandidates)] {
+	for _, h := range p.ranked[:min(len(p.ranked), scatter.StoreCandidates)] {
+		if h.ID == p.self.ID && wanted.substitute {
+			break
+		}
 		if h.ID != p.self.ID {
 			others = append(others, h)
 		}
@@ -448,7 +416,7 @@
 	if wanted.readersUp || len(others) == 0 {
 		return
 	}
-	streams := min(streamsPerActiveHost, len(others))
+	streams := min(scatter.StreamsPerActiveHost, len(others))
 	if !p.active {
 		streams = 1
 	}
@@ -493,7 +461,7 @@
 	storeCtx, cancel := context.WithCancel(ctx)
 	w.stopReaders = cancel
 	for _, hub := range w.registry.hubs {
-		reader := &storeReader{hub: hub, contactTime: w.registry.contactTime, log: w.registry.log, panics: w.registry.panics}
+		reader := &storeReader{hub: hub, gate: w.registry.gate, contactTime: w.registry.contactTime, log: w.registry.log, panics: w.registry.panics}
 		w.tasks.Go(func() { reader.run(storeCtx) })
 	}
 }
--- a/edge/stale_hosts.go
+++ b/edge/stale_hosts.go
@@ -89,7 +89,7 @@
 		expiry.MarkPresent(absent.ID) // it is up but follows no host
 		return
 	}
-	if err := platform.RemoveHost(callCtx, r.objects, absent); err != nil {
+	if err := platform.RemoveHost(platform.WithPurpose(callCtx, platform.PurposeExpiry), r.objects, absent); err != nil {
 		expiry.MarkPresent(absent.ID)
 		r.log.Warn().Str("event", "forget_failed").Str("peer", string(absent.ID)).AnErr("cause", err).Msg("removing the record of an absent host failed")
 		return
@@ -111,7 +111,7 @@
 		certain = certain && unnamed == 0
 	}
 	add(r.followers.list())
-	for _, h := range p.ranked[:min(len(p.ranked), readerCandidates+1)] {
+	for _, h := range p.ranked[:min(len(p.ranked), scatter.StoreCandidates+1)] {
 		if h.ID == p.self.ID {
 			continue
 		}
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -32,21 +32,25 @@
 	// other list call.
 	listTimeoutShare = 0.375
 	listTimeout      = 1500 * time.Millisecond
-	// initialStoreBackoff is the longest delay after the first failed call. It
-	// doubles with each further failure, up to maxBackoffShare.
-	initialStoreBackoff = 200 * time.Millisecond
-	maxBackoffShare     = 0.25
+	// initialFeedBackoff is the longest delay after the first failed call of a feed
+	// whose calls alone fail, while the store serves others. It doubles with each
+	// further failure, up to maxFeedBackoffShare.
+	initialFeedBackoff  = 200 * time.Millisecond
+	maxFeedBackoffShare = 0.25
 )
 
 // storeReader reads one feed from the store: one list call, then watch calls
 // for the changes since.
 type storeReader struct {
 	hub         *hub
+	gate        *storeGate
 	contactTime time.Duration // see HostSettings.Contact
 	log         zerolog.Logger
 	panics      *panicHandler
 	up          bool
-	failures    int
+	refused     bool // whether the last call was refused
+	// failures counts failed calls in a row that were made while the gate was open.
+	failures int
 }
 
 // run reads the feed until ctx ends.
@@ -54,14 +58,19 @@
 	defer r.hub.setStoreUp(false, false)
 	var at core.Position
 	listed := false
-	for ctx.Err() == nil {
-		update, applied, err := r.poll(ctx, listed, at)
+	for {
+		call, ok := r.gate.begin(ctx, r.refused, false, r.held)
+		if !ok {
+			return
+		}
+		update, applied, err := r.poll(ctx, call, listed, at)
+		r.gate.end(ctx, call, err)
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
 			listed = false
 			r.log.Warn().Str("event", "store_history_gone").Str("feed", r.hub.feed.Name).Uint64("era", at.Era).Uint64("revision", at.Revision).Msg("the store no longer holds the changes since this revision; listing again")
 		case err != nil:
-			r.failed(ctx, err)
+			r.failed(ctx, call, err)
 		default:
 			r.succeeded()
 			at = update.Position()
@@ -76,9 +85,9 @@
 
 // poll makes one call and applies its result. applied is false if the update
 // does not follow on the state at hand, and a list is needed.
-func (r *storeReader) poll(ctx context.Context, listed bool, after core.Position) (update platform.Update, applied bool, err error) {
+func (r *storeReader) poll(ctx context.Context, call storeCall, listed bool, after core.Position) (update platform.Update, applied bool, err error) {
 	defer r.panics.recoverPanic("registry", "", func() { err = errUnexpected })
-	if update, err = r.call(ctx, listed, after); err == nil {
+	if update, err = r.call(ctx, call, listed, after); err == nil {
 		applied = r.hub.apply(update)
 	}
 	return update, applied, err
@@ -86,7 +95,15 @@
 
 // call makes one list or watch call. While the store does not answer, watch
 // calls are short, so that its recovery is detected soon.
-func (r *storeReader) call(ctx context.Context, listed bool, after core.Position) (platform.Update, error) {
+func (r *storeReader) call(ctx context.Context, call storeCall, listed bool, after core.Position) (platform.Update, error) {
+	purpose := platform.PurposeList
+	switch {
+	case call.probe:
+		purpose = platform.PurposeProbe
+	case listed:
+		purpose = platform.PurposeWatch
+	}
+	ctx = platform.WithPurpose(ctx, purpose)
 	if listed {
 		wait := time.Duration(watchWaitShare * float64(r.contactTime))
 		if !r.up {
@@ -102,7 +119,7 @@
 }
 
 func (r *storeReader) succeeded() {
-	r.failures = 0
+	r.failures, r.refused = 0, false
 	if r.up {
 		return
 	}
@@ -110,20 +127,34 @@
 	r.log.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("feed", r.hub.feed.Name).Msg("the store answers")
 }
 
-// failed records a failed call and backs off.
-func (r *storeReader) failed(ctx context.Context, err error) {
+// held records that this feed has no call, since the store refuses the host's calls.
+func (r *storeReader) held() {
+	r.failures = 0
+	if r.up {
+		r.up = false
+		r.hub.setStoreUp(false, true)
+	}
+}
+
+// failed records a failed call. The gate delays the next one, unless the store serves
+// the calls of other feeds.
+func (r *storeReader) failed(ctx context.Context, call storeCall, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if r.up || r.failures == 0 {
+	if r.up || !r.refused {
 		r.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Str("feed", r.hub.feed.Name).AnErr("cause", err).Msg("the store does not answer")
 	}
 	r.up = false
 	r.hub.setStoreUp(false, true)
-	maxBackoff := time.Duration(maxBackoffShare * float64(r.contactTime))
-	backoff := min(maxBackoff, initialStoreBackoff<<min(r.failures, 8))
-	r.failures++
-	pause(ctx, time.Duration(float64(backoff)*(0.5+0.5*rand.Float64())))
+	r.refused = true
+	if call.probe {
+		return
+	}
+	if r.failures++; r.failures > 1 {
+		backoff := min(time.Duration(maxFeedBackoffShare*float64(r.contactTime)), initialFeedBackoff<<min(r.failures-2, 8))
+		pause(ctx, time.Duration(float64(backoff)*(0.5+0.5*rand.Float64())))
+	}
 }
 
 // pause sleeps, or returns early when ctx ends.
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -17,12 +17,13 @@
 	// checkTimeout bounds a check of an upstream; one that times out has no
 	// result.
 	checkTimeout = 300 * time.Millisecond
-	// suspectsTimeout bounds a call that stores this host's record, and
-	// suspectsRetry is the delay after a failed one. Their sum is below the
-	// contact time, within which other hosts have to receive the record once the
-	// store is reachable.
+	// suspectsTimeout bounds a call that stores this host's record. The interval at
+	// which a refused one is repeated is below the contact time, within which other
+	// hosts have to receive the record once the store is reachable.
 	suspectsTimeout = 700 * time.Millisecond
-	suspectsRetry   = 300 * time.Millisecond
+	// suspectsConflictDelay is the delay after the store has answered with another
+	// revision of the record, which the next call uses.
+	suspectsConflictDelay = 300 * time.Millisecond
 )
 
 // check opens a TCP connection to find out whether a process listens at an
@@ -57,6 +58,7 @@
 // suspects of crashing upstreams. All hosts read them from the store.
 type suspectWriter struct {
 	record *platform.SuspectRecord
+	gate   *storeGate
 	log    zerolog.Logger
 	panics *panicHandler
 	wake   chan struct{}
@@ -65,8 +67,8 @@
 	latest *scatter.SuspectReport // nil once it is stored
 }
 
-func newSuspectWriter(record *platform.SuspectRecord, log zerolog.Logger, p *panicHandler) *suspectWriter {
-	return &suspectWriter{record: record, log: log, panics: p, wake: make(chan struct{}, 1)}
+func newSuspectWriter(record *platform.SuspectRecord, gate *storeGate, log zerolog.Logger, p *panicHandler) *suspectWriter {
+	return &suspectWriter{record: record, gate: gate, log: log, panics: p, wake: make(chan struct{}, 1)}
 }
 
 // submit queues a report to be stored; it replaces one that is still queued.
@@ -88,14 +90,14 @@
 			return
 		case <-w.wake:
 		}
-		for !w.store(ctx) && ctx.Err() == nil {
-			pause(ctx, suspectsRetry)
+		for retry := false; !w.store(ctx, retry) && ctx.Err() == nil; {
+			retry = true
 		}
 	}
 }
 
 // store stores the latest report, and reports whether none is left to store.
-func (w *suspectWriter) store(ctx context.Context) (stored bool) {
+func (w *suspectWriter) store(ctx context.Context, retry bool) (stored bool) {
 	defer w.panics.recoverPanic("suspects", "", nil)
 	w.mu.Lock()
 	report := w.latest
@@ -103,10 +105,14 @@
 	if report == nil {
 		return true
 	}
-	callCtx, cancel := context.WithTimeout(ctx, suspectsTimeout)
-	defer cancel()
-	if err := w.record.Store(callCtx, report.Suspects); err != nil {
+	err, _ := w.gate.run(ctx, retry, true, suspectsTimeout, func(ctx context.Context) error {
+		return w.record.Store(platform.WithPurpose(ctx, platform.PurposeSuspects), report.Suspects)
+	})
+	if err != nil {
 		w.log.Warn().Str("event", "suspects_not_stored").Int("questions", len(report.Suspects)).AnErr("cause", err).Msg("storing the suspected questions failed")
+		if !platform.StoreRefused(err) {
+			pause(ctx, suspectsConflictDelay)
+		}
 		return false
 	}
 	w.log.Info().Str("event", "suspects_stored").Int("questions", len(report.Suspects)).Msg("stored the suspected questions")
