Quotas of teams apply to all hosts together

Cause: a team could run more requests than its rate and burst, since no part of the tier read them.

Change: the gatherer that answers a request decides. Rendezvous hashing selects a quota owner for each team; it holds the token bucket, and the other gatherers ask it through the RPC Quota, one batched request per host at a time. A request without a token gets 429 with a spread Retry-After. A token is returned if the request has surely not run.

Shares of hosts that cannot reach each other are not limited yet.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -27,6 +27,9 @@
 	Suspects *SuspectReport
 	// LimitEnds are to be sent to the other gatherers.
 	LimitEnds []LimitEnd
+	// QuotaRequests are to be sent to other hosts, QuotaReplies answer theirs.
+	QuotaRequests []QuotaRequest
+	QuotaReplies  []QuotaReply
 }
 
 // Check is an upstream to which a connection is to be attempted, without a request.
@@ -62,6 +65,9 @@
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
 	a.Silent, a.Suspects = nil, nil
 	a.Checks, a.LimitEnds = a.Checks[:0], a.LimitEnds[:0]
+	clear(a.QuotaRequests)
+	clear(a.QuotaReplies)
+	a.QuotaRequests, a.QuotaReplies = a.QuotaRequests[:0], a.QuotaReplies[:0]
 	a.Handovers, a.Probes, a.CancelledHandovers = a.Handovers[:0], a.Probes[:0], a.CancelledHandovers[:0]
 }
 
@@ -230,4 +236,6 @@
 	DecisionReconnected            Decision = "upstreams_reachable"
 	DecisionWithdraw               Decision = "callers_turned_away"
 	DecisionReturn                 Decision = "callers_taken_again"
+	DecisionQuotaOwnerSkipped      Decision = "quota_owner_skipped"
+	DecisionQuotaOwnerBack         Decision = "quota_owner_back"
 )
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -103,7 +103,12 @@
 	}
 	e.calls[a.Call] = c
 	e.startTimers(now, c)
-	if route.IsGather() && e.quarantine.needsProbe(a.Fingerprint) {
+	e.claimQuota(now, c)
+}
+
+// startCall sends the parts of a call.
+func (e *Engine) startCall(now time.Time, c *call) {
+	if c.route.IsGather() && e.quarantine.needsProbe(c.request.Fingerprint) {
 		e.startProbe(now, c)
 	} else {
 		e.sendAll(now, c)
@@ -440,6 +445,7 @@
 		e.timers.Stop(timer)
 	}
 	c.timers = nil
+	e.releaseQuota(now, c)
 }
 
 // fail ends a call that can no longer be answered.
@@ -492,12 +498,12 @@
 // the log entry.
 func (e *Engine) finish(now time.Time, c *call, answer Answer, why string) {
 	e.removeCall(now, c)
-	if answer.Kind != Declined && answer.Kind != Interrupted && (answer.Kind != PassedOn || c.failure == nil) {
+	if answer.Kind != Declined && answer.Kind != Interrupted && answer.Kind != OverQuota && (answer.Kind != PassedOn || c.failure == nil) {
 		e.recordResult(now, answer.Kind == PassedOn || answer.Kind == Gathered)
 	}
 	e.out.Answers = append(e.out.Answers, answer)
 	decision := DecisionAnswer
-	if answer.Kind == Refused || answer.Kind == Declined || answer.Kind == Interrupted {
+	if answer.Kind == Refused || answer.Kind == Declined || answer.Kind == Interrupted || answer.Kind == OverQuota {
 		decision = DecisionRefuse
 	}
 	detail := answer.Kind.String()
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -29,6 +29,8 @@
 	FirstStart bool
 	// Revocation bounds how long unconfirmed keys are accepted.
 	Revocation Revocation
+	// Quota bounds the requests beyond the quotas of teams.
+	Quota QuotaLimits
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -67,6 +69,7 @@
 	unservedShare float64
 	withdrawn     bool
 	splits        map[*Route]*weightedRoundRobin
+	quotas        *quotas
 	out           *Actions
 	stats         Stats
 }
@@ -94,6 +97,11 @@
 	Unauthorized uint64
 	// Partitions counts how often this host lost its connections to the upstreams.
 	Partitions uint64
+	// QuotaAsked, QuotaGranted and QuotaDenied count the tokens that were requested,
+	// received and not received for requests of teams with a limit, OverQuota the
+	// requests refused, and QuotaFallbacks how often a host was skipped that grants
+	// tokens.
+	QuotaAsked, QuotaGranted, QuotaDenied, OverQuota, QuotaFallbacks uint64
 }
 
 // timerFunc is called when a timer is due.
@@ -129,6 +137,7 @@
 	// failure is the payload of the last failure answer of an upstream, which is
 	// passed on to the caller.
 	failure any
+	quota   quotaHold
 }
 
 // part is the request of a call to one service.
@@ -166,7 +175,7 @@
 
 // New returns an Engine without a configuration.
 func New(options Options) *Engine {
-	return &Engine{
+	e := &Engine{
 		options:    options,
 		directory:  newDirectory(options.Self, options.Domain, options.AssumedHosts),
 		fleet:      newFleet(options.Self, options.Domain),
@@ -182,6 +191,8 @@
 
 		connectivity: connectivity{failing: map[*upstream]time.Time{}},
 	}
+	e.quotas = e.newQuotas()
+	return e
 }
 
 // Successor returns an engine that replaces this one after an unexpected error.
@@ -193,6 +204,7 @@
 	next.budgets = e.budgets
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.forSuccessor()
+	next.quotas.ledger, next.quotas.number = e.quotas.ledger, e.quotas.number
 	next.stats = e.stats
 	return next
 }
@@ -311,6 +323,10 @@
 		e.stopBy(event.Until)
 	case LimitEnded:
 		e.handleLimitEnd(now, event.LimitEnd)
+	case QuotaGranted:
+		e.quotas.granted(now, event)
+	case QuotaAsked:
+		e.answerQuota(now, event)
 	case Tick:
 	}
 }
@@ -414,6 +430,7 @@
 	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
 		e.directory.hosts = append(e.directory.hosts, h.ID)
 	}
+	e.quotas.setGatherers(now, e.fleet.ranked[:e.fleet.gatherers()])
 	e.directory.hostCount = len(e.fleet.ranked)
 	e.directory.place = e.fleet.place()
 	for _, u := range e.directory.byID {
--- /dev/null
+++ b/core/scatter/quota_engine.go
@@ -0,0 +1,104 @@
+package scatter
+
+import "time"
+
+// quotaHold is what a call has of the quota of its team.
+type quotaHold struct {
+	team  *quotaTeam  // nil if the team has no limit
+	claim *quotaClaim // while it waits for a token
+	taken bool
+}
+
+// newQuotas returns the quota decisions of this host, with the engine's outputs.
+func (e *Engine) newQuotas() *quotas {
+	q := newQuotas(e.options.Self, e.options.Quota)
+	q.stats = &e.stats
+	q.asked = func(r QuotaRequest) {
+		for _, want := range r.Wants {
+			e.stats.QuotaAsked += uint64(want.Tokens)
+		}
+		e.out.QuotaRequests = append(e.out.QuotaRequests, r)
+	}
+	q.note = e.note
+	q.after = func(at time.Time, fire timerFunc) { e.timers.Add(at, fire) }
+	return q
+}
+
+// claimQuota starts a call once its team has a token. The call waits meanwhile, and ends
+// as any other if its caller leaves or its deadline passes.
+func (e *Engine) claimQuota(now time.Time, c *call) {
+	if c.team == nil || !c.team.Quota.Limited() {
+		e.startCall(now, c)
+		return
+	}
+	e.quotas.started = e.startedAt.UnixMicro()
+	t := e.quotas.team(c.team.ID, c.team.Quota)
+	c.quota.team = t
+	if wait := t.exceedsLocally(now); wait > 0 {
+		e.refuseOverQuota(now, c, wait)
+		return
+	}
+	claim := &quotaClaim{wanted: 1}
+	claim.settle = func(now time.Time, got int, wait time.Duration) {
+		c.quota.claim = nil
+		switch {
+		case got == 0:
+			e.refuseOverQuota(now, c, wait)
+		case !e.endsBeforeStop(now, c.wanted, e.usualLatency(c.route, c.parts[0].service).estimate):
+			c.quota.taken = true
+			e.refuse(now, c, "this host stops before the request is expected to end")
+		default:
+			c.quota.taken = true
+			t.local.take(1)
+			e.stats.QuotaGranted++
+			e.startCall(now, c)
+		}
+	}
+	c.quota.claim = claim
+	e.quotas.claim(now, t, claim)
+}
+
+// releaseQuota gives up what a call that ends has of its quota. A token is returned only
+// if the request has not run and never will.
+func (e *Engine) releaseQuota(now time.Time, c *call) {
+	hold := c.quota
+	c.quota = quotaHold{}
+	switch {
+	case hold.claim != nil:
+		e.quotas.abandon(hold.team, hold.claim)
+	case hold.taken && !c.mayHaveRun():
+		hold.team.local.put(1)
+		e.quotas.giveBack(now, hold.team, 1)
+	}
+}
+
+// refuseOverQuota ends a call that is beyond the quota of its team.
+func (e *Engine) refuseOverQuota(now time.Time, c *call, wait time.Duration) {
+	e.stats.QuotaDenied++
+	kind := OverQuota
+	if c.request.Repeat {
+		kind = Declined // the request may have run at another host
+	} else {
+		e.stats.OverQuota++
+	}
+	retryAfter := c.quota.team.nextRetry(now, wait, e.quotas.limits.Window, len(e.quotas.gatherers), e.options.Random())
+	e.finish(now, c, Answer{Call: c.id, Kind: kind, RetryAfter: retryAfter}, "team "+string(c.team.ID))
+}
+
+// answerQuota answers a request of another host for tokens.
+func (e *Engine) answerQuota(now time.Time, r QuotaAsked) {
+	e.quotas.started = e.startedAt.UnixMicro()
+	e.quotas.answer(now, r, e.limitedTeam, func(reply QuotaReply) { e.out.QuotaReplies = append(e.out.QuotaReplies, reply) })
+}
+
+// limitedTeam returns the quota of a team in the configuration in force; false if the
+// team is not known.
+func (e *Engine) limitedTeam(id TeamID) (Quota, bool) {
+	if e.config == nil {
+		return Quota{}, false
+	}
+	if team := e.config.Teams.Team(id); team != nil {
+		return team.Quota, true
+	}
+	return Quota{}, false
+}
--- a/edge/host.go
+++ b/edge/host.go
@@ -59,6 +59,7 @@
 	sender           *sender
 	objects          *platform.Objects
 	peers            *peers
+	quotaReplies     quotaReplies
 	relays           *relayLinks
 	registry         *registry
 	suspects         *suspectWriter
@@ -145,6 +146,7 @@
 		AssumedHosts: h.settings.AssumedHosts,
 		FirstStart:   h.platformSettings.FirstStart,
 		Revocation:   h.platformSettings.Revocation,
+		Quota:        h.platformSettings.Quota,
 		Random:       rand.Float64,
 	})
 }
@@ -253,6 +255,7 @@
 	for _, end := range actions.LimitEnds {
 		h.reportLimitEnd(end)
 	}
+	h.exchangeQuotas(actions)
 	for _, answer := range actions.Answers {
 		h.frontend.deliver(answer)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -118,6 +118,8 @@
 		"limited_sends": stats.LimitedSends, "limited_relayed": stats.LimitedRelayed, "limited_extra": stats.LimitedExtra,
 		"attempts_failed_direct": stats.DirectFailures, "attempts_failed_relayed": stats.RelayedFailures,
 		"partitions": stats.Partitions, "upstreams_limited": stats.Limited, "limit_refused": stats.LimitRefused,
+		"quota_asked": stats.QuotaAsked, "quota_granted": stats.QuotaGranted, "quota_denied": stats.QuotaDenied,
+		"over_quota": stats.OverQuota, "quota_fallbacks": stats.QuotaFallbacks,
 	} {
 		set(name, int64(value))
 	}
