Quotas: divide each quota among the gatherers that reach each other

Change: each gatherer has an equal share of each quota and delegates it to one host at a time, by a lease of 500 ms. A host grants the shares that were delegated to it. While some are missing, hosts may grant a part of the excess. A host whose address refuses connections counts as down while another of its domain is heard. A changed list of gatherers applies after it has settled. A bucket that has granted the whole quota for a window is filled.

Ruled out: waiting for a majority of gatherers (refuses everything when half are killed); counting any silent host as down (a cut-off domain grants its share again).

--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -278,7 +278,7 @@
 	case CallerGone:
 		e.callerGone(now, event.Call)
 	case ConfigSeen:
-		e.setConfig(event.Config)
+		e.setConfig(now, event.Config)
 	case UpstreamsListed:
 		e.directory.list(now, event.Upstreams, event.Restored, e.noteUpstream)
 		if e.connectivity.checkWhenListed {
@@ -359,7 +359,7 @@
 }
 
 // setConfig puts a newer version in force and ignores any other.
-func (e *Engine) setConfig(c *Config) {
+func (e *Engine) setConfig(now time.Time, c *Config) {
 	if e.config != nil && c.Version <= e.config.Version {
 		return
 	}
@@ -375,6 +375,7 @@
 			delete(e.queues, id)
 		}
 	}
+	e.setQuotas(now)
 	e.note(Note{Decision: DecisionConfig, Version: c.Version})
 }
 
--- a/core/scatter/export_test.go
+++ b/core/scatter/export_test.go
@@ -7,3 +7,6 @@
 func LimitShare(limit float64, rank, gatherers, hosts int) float64 {
 	return limitShare(limit, rank, gatherers, hosts)
 }
+
+// RankQuotaOwners is exported for tests.
+var RankQuotaOwners = rankQuotaOwners
--- a/core/scatter/quota.go
+++ b/core/scatter/quota.go
@@ -18,11 +18,14 @@
 //
 // over all hosts. The excess over rate x Window + burst is divided as follows:
 //
-//   - one half bounds the reserves: tokens that gatherers hold may have been granted
+//   - a quarter bounds the reserves: the tokens that gatherers hold may have been granted
 //     before the window;
-//   - a quarter is for successors and hosts without contact, which grant a share of it
-//     while they cannot reach the owner;
-//   - the remaining quarter covers the time between grants and sends.
+//   - a quarter covers the time between grants and sends;
+//   - the remainder is the fallback: tokens that hosts grant while some gatherers are out
+//     of contact, each for its own part of it, see quotaShares.
+//
+// The quota itself is divided by quotaShares. The parts of hosts that cannot reach each
+// other add up to it at most, so that no division of the tier exceeds the rule.
 type QuotaLimits struct {
 	Window    time.Duration
 	Overshoot float64
@@ -30,8 +33,8 @@
 }
 
 const (
-	reserveFraction  = 0.5
-	fallbackFraction = 0.25
+	reserveFraction = 0.25
+	delayFraction   = 0.25
 )
 
 // excess returns how many requests of a team may run beyond its quota in a window.
@@ -44,29 +47,63 @@
 	return int(reserveFraction * l.excess(q) / float64(max(1, gatherers)))
 }
 
+// fallback returns how many tokens of a team all hosts together may grant in a window
+// besides the quota, while some of them are out of contact.
+func (l QuotaLimits) fallback(q Quota, gatherers int) float64 {
+	return (1-delayFraction)*l.excess(q) - float64(gatherers*l.reserve(q, gatherers))
+}
+
 // quotaBucket is a token bucket. It prevents a team with more load than its quota from
 // taking the capacity of others.
 //
 // Share, from 0 to 1, is the part of the quota that the bucket grants. A bucket starts
-// empty, since the tokens of the last window may have been granted elsewhere.
+// empty, since the tokens of the last window may have been granted elsewhere. It is filled
+// once it has granted the whole quota for a window, when that is not so any more.
 type quotaBucket struct {
 	tokens, capacity, perSecond float64
 	at                          time.Time
+	// wholeSince is since when the share is 1; filled is whether it was filled since.
+	wholeSince time.Time
+	filled     bool
+	// fallback counts the fallback tokens that were granted.
+	fallback window
 }
 
 // minQuotaBurst is the least capacity of a bucket that grants a whole quota.
 const minQuotaBurst = 1
 
+// takeFallback takes up to a number of fallback tokens, of which limit may be granted in
+// a window.
+func (b *quotaBucket) takeFallback(now time.Time, wanted int, limit float64, within time.Duration) (taken int) {
+	spent := b.fallback.sum(now, 0, int(math.Ceil(within.Seconds()))+1)
+	taken = max(0, min(wanted, int(limit)-spent))
+	for range taken {
+		b.fallback.add(now)
+	}
+	return taken
+}
+
 // advance adds the tokens since the last call at the rate that was in force meanwhile,
 // and then applies the given quota and share.
-func (b *quotaBucket) advance(now time.Time, q Quota, share float64) {
+func (b *quotaBucket) advance(now time.Time, q Quota, share float64, window time.Duration) {
 	if !b.at.IsZero() && now.After(b.at) {
 		b.tokens = min(b.capacity, b.tokens+b.perSecond*now.Sub(b.at).Seconds())
 	}
 	b.at = now
-	b.capacity = max(minQuotaBurst, share*q.Burst)
+	b.capacity = share * max(minQuotaBurst, q.Burst)
+	if share > 0 {
+		b.capacity = max(minQuotaBurst, b.capacity)
+	}
 	b.perSecond = share * q.Rate
 	b.tokens = min(b.tokens, b.capacity)
+	switch {
+	case share < 1:
+		b.wholeSince, b.filled = time.Time{}, false
+	case b.wholeSince.IsZero():
+		b.wholeSince = now
+	case !b.filled && now.Sub(b.wholeSince) >= window:
+		b.tokens, b.filled = b.capacity, true
+	}
 }
 
 // take takes up to a number of tokens.
--- a/core/scatter/quota_asker.go
+++ b/core/scatter/quota_asker.go
@@ -27,6 +27,14 @@
 	// retryAt is when the last caller that was refused is to come back.
 	retryAt time.Time
 	usedAt  time.Time // of the last claim
+	// decider is the host to which this host delegates its share of the quota; nil if
+	// that is this host. lapsesAt is when the lease of the one before has ended.
+	decider  *quotaLink
+	lapsesAt time.Time
+	lapsesBy *quotaLink // whose lease it is
+	// delegatedBy and askedBy are when other hosts last named the team in a delegation,
+	// and asked for tokens of it.
+	delegatedBy, askedBy map[core.HostID]time.Time
 }
 
 // quotaClaim waits for tokens: one for a request, or more for another host.
@@ -41,12 +49,15 @@
 // quotaLink is the exchange with one host that grants tokens. There is one request at a
 // time; what is wanted meanwhile is sent together with the next one.
 type quotaLink struct {
-	to      Host
-	number  uint64 // of the request that has no reply yet; 0 if there is none
-	asked   []QuotaWant
-	skipped time.Time // until when the host is not asked; zero if it is
-	since   time.Time // of skipped
-	losses  int       // in a row
+	to     Host
+	number uint64 // of the request that has no reply yet; 0 if there is none
+	asked  []QuotaWant
+	// delegatedAt is when the last message was sent that delegates shares.
+	delegatedAt time.Time
+	skipped     time.Time // until when the host is not asked; zero if it is
+	since       time.Time // of skipped
+	losses      int       // in a row
+	refused     bool      // whether the last one was a refused connection
 }
 
 // skipping reports whether the host is not asked at present.
@@ -55,15 +66,33 @@
 // target returns the host that decides on a team as far as this host can tell; false if
 // it is this host.
 func (q *quotas) target(now time.Time, t *quotaTeam) (*quotaLink, bool) {
+	decider := q.decider(now, t)
+	if old := t.decider; old != decider {
+		if old != nil && !old.delegatedAt.IsZero() {
+			t.lapsesAt, t.lapsesBy = latest(t.lapsesAt, old.delegatedAt.Add(quotaLease)), old
+		}
+		t.decider = decider
+	}
+	return decider, decider != nil
+}
+
+func (q *quotas) decider(now time.Time, t *quotaTeam) *quotaLink {
 	for _, h := range t.owners {
 		if h.ID == q.self {
-			return nil, false
+			return nil
 		}
 		if l := q.link(h); !l.skipping() && !now.Before(t.declined[h.ID]) {
-			return l, true
+			return l
 		}
 	}
-	return nil, false
+	return nil
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // link returns the exchange with a host.
@@ -104,7 +133,7 @@
 // giveBack returns a token that was not used.
 func (q *quotas) giveBack(now time.Time, t *quotaTeam, tokens int) {
 	if _, remote := q.target(now, t); !remote {
-		q.ledger.bucket(now, t.id, t.quota, q.share(now, t)).put(tokens)
+		q.bucket(now, t).put(tokens)
 		return
 	}
 	keep := max(0, min(tokens, q.reserveOf(t)-t.reserve))
@@ -133,18 +162,23 @@
 
 // serveLocally settles the claims on a team on which this host decides.
 func (q *quotas) serveLocally(now time.Time, t *quotaTeam) {
-	b := q.ledger.bucket(now, t.id, t.quota, q.share(now, t))
+	b := q.bucket(now, t)
 	b.put(t.returned)
 	t.returned = 0
 	claims := t.claims
 	t.claims = nil
+	wait := time.Duration(0)
 	for _, c := range claims {
 		fromReserve := min(t.reserve, c.wanted-c.got)
 		t.reserve -= fromReserve
 		c.got += fromReserve
-		c.got += b.take(c.wanted - c.got)
+		if c.got < c.wanted {
+			var got int
+			got, wait = q.takeTokens(now, t, c.wanted-c.got)
+			c.got += got
+		}
 	}
-	settleAll(now, claims, b.wait())
+	settleAll(now, claims, wait)
 }
 
 // flush sends a host one request for all teams on which it decides, unless the previous
@@ -153,8 +187,8 @@
 	if l.number != 0 {
 		return
 	}
-	request := QuotaRequest{To: l.to, Started: q.started}
-	for _, t := range q.sortedTeams() {
+	request := QuotaRequest{To: l.to}
+	for _, t := range q.sorted {
 		if to, remote := q.target(now, t); !remote || to != l {
 			continue
 		}
@@ -171,20 +205,55 @@
 			t.returned = 0
 		}
 	}
-	if len(request.Wants) == 0 {
-		return
+	if len(request.Wants) > 0 {
+		q.send(now, l, request)
+	}
+}
+
+// send sends a request, which delegates the shares of this host whose previous lease has
+// ended. A request that is forwarded delegates nothing.
+func (q *quotas) send(now time.Time, l *quotaLink, request QuotaRequest) {
+	if q.shares.isMember(q.self) && !l.skipping() && !request.Forwarded {
+		request = q.delegate(now, l, request)
+	} else {
+		request.Forwarded = true
 	}
 	q.number++
-	request.Number = q.number
-	l.number, l.asked = q.number, request.Wants
+	request.Number, request.Started = q.number, q.started
+	l.number, l.asked = request.Number, request.Wants
 	q.asked(request)
 	q.after(now.Add(quotaReplyTimeout), func(now time.Time) {
 		if l.number == request.Number {
-			q.skip(now, l, "no reply")
+			q.skip(now, l, QuotaGranted{Cause: "no reply"})
 		}
 	})
 }
 
+// delegate adds the names of the teams whose shares are delegated with a request, unless
+// the receiver owns them.
+func (q *quotas) delegate(now time.Time, l *quotaLink, request QuotaRequest) QuotaRequest {
+	changed := !q.shares.changedAt.IsZero() && now.Sub(q.shares.changedAt) < 2*quotaSettled
+	var named []QuotaWant
+	for _, t := range q.sorted {
+		if t.decider != l {
+			continue
+		}
+		owned := t.owners[0].ID == l.to.ID
+		if now.Before(t.lapsesAt) {
+			request.Forwarded = request.Forwarded || owned
+			continue
+		}
+		if !owned || changed {
+			named = append(named, QuotaWant{Team: t.id})
+		}
+	}
+	if !request.Forwarded {
+		request.Wants = append(request.Wants, named...)
+		l.delegatedAt = now
+	}
+	return request
+}
+
 const (
 	// quotaReplyTimeout is how long a host may take to grant tokens. A request has
 	// about 80 ms, and the next host has to be asked within them.
@@ -205,18 +274,19 @@
 		return // too late: the tokens are lost
 	}
 	if r.Failed {
-		q.skip(now, l, r.Cause)
+		q.skip(now, l, r)
 		return
 	}
 	asked := l.asked
-	l.number, l.asked, l.losses = 0, nil, 0
+	q.shares.seenAt[r.From] = now
+	l.number, l.asked, l.losses, l.refused = 0, nil, 0, false
 	if l.skipping() {
 		l.skipped = time.Time{}
 		q.note(Note{Decision: DecisionQuotaOwnerBack, Upstream: core.UpstreamID(l.to.ID), Age: now.Sub(l.since)})
 	}
 	for _, want := range asked {
 		t := q.teams[want.Team]
-		if t == nil {
+		if t == nil || want.Tokens == 0 {
 			continue
 		}
 		at := slices.IndexFunc(r.Grants, func(g QuotaGrant) bool { return g.Team == want.Team })
@@ -269,14 +339,17 @@
 }
 
 // skip stops asking a host for a bounded time, and asks the next one.
-func (q *quotas) skip(now time.Time, l *quotaLink, why string) {
-	l.number, l.asked = 0, nil
+func (q *quotas) skip(now time.Time, l *quotaLink, failed QuotaGranted) {
+	l.number, l.asked, l.refused = 0, nil, failed.Refused
 	q.stats.QuotaFallbacks++
 	if !l.skipping() {
 		l.since = now
-		q.note(Note{Decision: DecisionQuotaOwnerSkipped, Upstream: core.UpstreamID(l.to.ID), Detail: why})
+		q.note(Note{Decision: DecisionQuotaOwnerSkipped, Upstream: core.UpstreamID(l.to.ID), Detail: failed.Cause})
 	}
 	wait := min(maxQuotaSkip, quotaSkip<<min(l.losses, 8))
+	if failed.Refused {
+		wait = quotaSkip // it costs little to see soon that it is back
+	}
 	l.losses++
 	l.skipped = now.Add(wait)
 	q.after(l.skipped, func(now time.Time) {
@@ -284,7 +357,15 @@
 			q.probe(now, l)
 		}
 	})
+	for _, t := range q.sorted {
+		if q.target(now, t); t.lapsesBy == l && q.isDown(now, l.to.ID) {
+			t.lapsesAt = time.Time{}
+		}
+	}
 	q.askAll(now)
+	if l.losses == 1 {
+		q.checkOthers(now)
+	}
 }
 
 // probe asks a skipped host for nothing, to find out whether it is back. No request has
@@ -293,25 +374,17 @@
 	if q.links[l.to.ID] != l || l.number != 0 {
 		return
 	}
-	q.number++
-	l.number = q.number
-	number := l.number
-	q.asked(QuotaRequest{To: l.to, Number: number, Started: q.started})
-	q.after(now.Add(quotaReplyTimeout), func(now time.Time) {
-		if l.number == number {
-			q.skip(now, l, "no reply")
-		}
-	})
+	q.send(now, l, QuotaRequest{To: l.to})
 }
 
 // exceedsLocally returns how long a team has to wait by the limit that this host knows;
 // 0 if it is within it. It holds a lowered limit while the owner still has the older one.
 func (t *quotaTeam) exceedsLocally(now time.Time) time.Duration {
-	if t.local.at.IsZero() {
-		t.local.advance(now, t.quota, 1)
+	first := t.local.at.IsZero()
+	t.local.advance(now, t.quota, 1, 0)
+	if first {
 		t.local.tokens = t.local.capacity
 	}
-	t.local.advance(now, t.quota, 1)
 	return t.local.wait()
 }
 
--- a/core/scatter/quota_engine.go
+++ b/core/scatter/quota_engine.go
@@ -24,6 +24,30 @@
 	return q
 }
 
+// setQuotas applies the quotas of the configuration in force, and starts to keep them up
+// to date on the first that has any.
+func (e *Engine) setQuotas(now time.Time) {
+	limited := e.config.Teams.limited()
+	e.quotas.setTeams(limited)
+	if len(limited) > 0 && !e.quotas.ticking {
+		e.quotas.ticking = true
+		e.quotas.started, e.quotas.shares.startedAt = e.startedAt.UnixMicro(), e.startedAt
+		e.tickQuotas(now)
+	}
+}
+
+// tickQuotas updates the quotas regularly while there are any.
+func (e *Engine) tickQuotas(now time.Time) {
+	if len(e.quotas.teams) == 0 {
+		e.quotas.ticking = false
+		return
+	}
+	if e.fleet.role == Gatherer {
+		e.quotas.tick(now)
+	}
+	e.timers.Add(now.Add(quotaTick), e.tickQuotas)
+}
+
 // claimQuota starts a call once its team has a token. The call waits meanwhile, and ends
 // as any other if its caller leaves or its deadline passes.
 func (e *Engine) claimQuota(now time.Time, c *call) {
@@ -31,7 +55,6 @@
 		e.startCall(now, c)
 		return
 	}
-	e.quotas.started = e.startedAt.UnixMicro()
 	t := e.quotas.team(c.team.ID, c.team.Quota)
 	c.quota.team = t
 	if wait := t.exceedsLocally(now); wait > 0 {
@@ -81,13 +104,12 @@
 	} else {
 		e.stats.OverQuota++
 	}
-	retryAfter := c.quota.team.nextRetry(now, wait, e.quotas.limits.Window, len(e.quotas.gatherers), e.options.Random())
+	retryAfter := c.quota.team.nextRetry(now, wait, e.quotas.limits.Window, len(e.quotas.shares.members), e.options.Random())
 	e.finish(now, c, Answer{Call: c.id, Kind: kind, RetryAfter: retryAfter}, "team "+string(c.team.ID))
 }
 
 // answerQuota answers a request of another host for tokens.
 func (e *Engine) answerQuota(now time.Time, r QuotaAsked) {
-	e.quotas.started = e.startedAt.UnixMicro()
 	e.quotas.answer(now, r, e.limitedTeam, func(reply QuotaReply) { e.out.QuotaReplies = append(e.out.QuotaReplies, reply) })
 }
 
--- a/core/scatter/quota_message.go
+++ b/core/scatter/quota_message.go
@@ -46,6 +46,8 @@
 	// Failed is true if there was no reply; Cause says why, for the log.
 	Failed bool
 	Cause  string
+	// Refused is true if the host's address refused the connection.
+	Refused bool
 }
 
 // QuotaAsked is a request of another host, which the QuotaReply with the same ID
--- a/core/scatter/quota_owner.go
+++ b/core/scatter/quota_owner.go
@@ -38,13 +38,13 @@
 }
 
 // bucket returns the bucket of a team as of now.
-func (l *quotaLedger) bucket(now time.Time, id TeamID, q Quota, share float64) *quotaBucket {
+func (l *quotaLedger) bucket(now time.Time, id TeamID, q Quota, share float64, window time.Duration) *quotaBucket {
 	b := l.buckets[id]
 	if b == nil {
 		b = &quotaBucket{}
 		l.buckets[id] = b
 	}
-	b.advance(now, q, share)
+	b.advance(now, q, share, window)
 	return b
 }
 
@@ -60,6 +60,10 @@
 		}
 	}
 	current := q.ledger.accept(r.From, r.Started, r.Number)
+	q.shares.seenAt[r.From] = now
+	if current && !r.Forwarded {
+		q.shares.heard[r.From] = now
+	}
 	for i, want := range r.Wants {
 		grant := &answer.Grants[i]
 		grant.Team = want.Team
@@ -73,6 +77,11 @@
 			continue
 		}
 		t := q.team(want.Team, quota)
+		if want.Tokens == 0 && want.Returned == 0 {
+			t.delegatedBy[r.From] = now
+			continue
+		}
+		t.askedBy[r.From] = now
 		if _, remote := q.target(now, t); remote && r.Forwarded {
 			grant.Declined = true
 			continue
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -15,15 +15,18 @@
 //
 // One gatherer, the quota owner, holds the tokens of a team. The others ask it.
 type quotas struct {
-	self      core.HostID
-	limits    QuotaLimits
-	started   int64 // of this process, in unix microseconds
-	number    uint64
-	gatherers []Host
-	teams     map[TeamID]*quotaTeam
-	links     map[core.HostID]*quotaLink
-	ledger    *quotaLedger
-	stats     *Stats
+	self    core.HostID
+	limits  QuotaLimits
+	started int64 // of this process, in unix microseconds
+	number  uint64
+	shares  quotaShares
+	pending []Host // the gatherers once the change has settled
+	teams   map[TeamID]*quotaTeam
+	sorted  []*quotaTeam // by ID
+	links   map[core.HostID]*quotaLink
+	ledger  *quotaLedger
+	stats   *Stats
+	ticking bool
 	// The outputs of a step: a request to another host, a log record, and a timer.
 	asked func(QuotaRequest)
 	note  func(Note)
@@ -31,9 +34,12 @@
 }
 
 func newQuotas(self core.HostID, limits QuotaLimits) *quotas {
-	return &quotas{
+	q := &quotas{
 		self: self, limits: limits.orDefault(), teams: map[TeamID]*quotaTeam{}, links: map[core.HostID]*quotaLink{}, ledger: newQuotaLedger(),
+		shares: newQuotaShares(),
 	}
+	q.shares.refuses = func(id core.HostID) bool { return q.links[id] != nil && q.links[id].skipping() && q.links[id].refused }
+	return q
 }
 
 // orDefault returns the limits that apply if the deployment states none.
@@ -44,17 +50,26 @@
 	return QuotaLimits{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 }
 
-// setGatherers applies a new list of gatherers.
+// setGatherers applies a new list of gatherers. Until it has settled, the previous ones
+// decide: hosts that learn of a change at different times would otherwise ask different
+// hosts.
 func (q *quotas) setGatherers(now time.Time, gatherers []Host) {
-	if slices.Equal(gatherers, q.gatherers) {
+	q.pending = slices.Clone(gatherers)
+	if len(q.shares.members) == 0 {
+		q.applyGatherers(now)
 		return
 	}
-	q.gatherers = slices.Clone(gatherers)
-	maps.DeleteFunc(q.links, func(id core.HostID, _ *quotaLink) bool {
-		return !slices.ContainsFunc(gatherers, func(h Host) bool { return h.ID == id })
-	})
-	for _, t := range q.sortedTeams() {
-		t.owners = rankQuotaOwners(t.id, q.gatherers)
+	q.after(now.Add(quotaSettleTime), q.applyGatherers)
+}
+
+func (q *quotas) applyGatherers(now time.Time) {
+	if slices.Equal(q.pending, q.shares.members) {
+		return
+	}
+	q.shares.setMembers(now, q.pending)
+	for _, t := range q.sorted {
+		t.owners = rankQuotaOwners(t.id, q.pending)
+		t.reserve = min(t.reserve, q.reserveOf(t))
 	}
 	q.askAll(now)
 }
@@ -63,8 +78,12 @@
 func (q *quotas) team(id TeamID, quota Quota) *quotaTeam {
 	t := q.teams[id]
 	if t == nil {
-		t = &quotaTeam{id: id, declined: map[core.HostID]time.Time{}, owners: rankQuotaOwners(id, q.gatherers)}
+		t = &quotaTeam{
+			id: id, declined: map[core.HostID]time.Time{}, owners: rankQuotaOwners(id, q.shares.members),
+			delegatedBy: map[core.HostID]time.Time{}, askedBy: map[core.HostID]time.Time{},
+		}
 		q.teams[id] = t
+		q.sortTeams()
 	}
 	if t.quota != quota {
 		t.quota = quota
@@ -74,24 +93,101 @@
 	return t
 }
 
-func (q *quotas) sortedTeams() []*quotaTeam {
-	return slices.SortedFunc(maps.Values(q.teams), func(a, b *quotaTeam) int { return cmp.Compare(a.id, b.id) })
+// setTeams applies the teams with a limit of the configuration in force. Others are
+// forgotten, unless requests of an older version wait for tokens.
+func (q *quotas) setTeams(teams []*Team) {
+	limited := make(map[TeamID]bool, len(teams))
+	for _, team := range teams {
+		limited[team.ID] = true
+		q.team(team.ID, team.Quota)
+	}
+	maps.DeleteFunc(q.teams, func(id TeamID, t *quotaTeam) bool { return !limited[id] && len(t.claims) == 0 })
+	maps.DeleteFunc(q.ledger.buckets, func(id TeamID, _ *quotaBucket) bool { return q.teams[id] == nil })
+	q.sortTeams()
+}
+
+func (q *quotas) sortTeams() {
+	q.sorted = slices.SortedFunc(maps.Values(q.teams), func(a, b *quotaTeam) int { return cmp.Compare(a.id, b.id) })
 }
 
 // askAll asks again for all open claims, after the hosts to ask have changed.
 func (q *quotas) askAll(now time.Time) {
-	for _, t := range q.sortedTeams() {
+	for _, t := range q.sorted {
+		q.target(now, t)
 		if len(t.claims) > 0 || t.returned > 0 {
 			q.ask(now, t)
 		}
 	}
 }
 
-// share returns the part of a team's quota that this host grants if it decides on the
-// team.
-func (q *quotas) share(time.Time, *quotaTeam) float64 {
-	if !slices.ContainsFunc(q.gatherers, func(h Host) bool { return h.ID == q.self }) {
-		return 0
+// bucket returns the bucket of a team as of now.
+func (q *quotas) bucket(now time.Time, t *quotaTeam) *quotaBucket {
+	return q.ledger.bucket(now, t.id, t.quota, q.shares.of(now, q.self, t).quota, q.limits.Window)
+}
+
+// takeTokens takes tokens of a team on which this host decides. If there are not enough,
+// it returns the time until there is one.
+func (q *quotas) takeTokens(now time.Time, t *quotaTeam, wanted int) (got int, wait time.Duration) {
+	part := q.shares.of(now, q.self, t)
+	b := q.ledger.bucket(now, t.id, t.quota, part.quota, q.limits.Window)
+	got = b.take(wanted)
+	if part.fallback > 0 {
+		got += b.takeFallback(now, wanted-got, part.fallback*q.limits.fallback(t.quota, len(q.shares.members)), q.limits.Window)
+	}
+	if got == wanted {
+		return got, 0
+	}
+	if wait = max(minQuotaWait, b.wait()); part.fallback > 0 {
+		wait = min(wait, quotaTick)
+	}
+	return got, wait
+}
+
+// minQuotaWait is the shortest time until there is a token that is stated: 0 states that
+// all tokens were granted.
+const minQuotaWait = time.Millisecond
+
+// tick updates leases and buckets, and keeps the delegation of this host's shares alive.
+func (q *quotas) tick(now time.Time) {
+	deciding := false
+	for _, t := range q.sorted {
+		if l, remote := q.target(now, t); remote {
+			lapsed := l.delegatedAt.Before(t.lapsesAt) && !now.Before(t.lapsesAt)
+			if (lapsed || now.Sub(l.delegatedAt) >= quotaHeartbeat) && l.number == 0 {
+				q.send(now, l, QuotaRequest{To: l.to})
+			}
+			continue
+		}
+		deciding = deciding || now.Sub(t.usedAt) < q.limits.Window
+		q.bucket(now, t)
+	}
+	if deciding {
+		q.checkSilent(now)
+	}
+}
+
+// checkSilent asks the hosts from which nothing was received for nothing, to find out
+// whether they are down.
+func (q *quotas) checkSilent(now time.Time) {
+	for _, h := range q.shares.members {
+		if l := q.link(h); h.ID != q.self && now.Sub(q.shares.seenAt[h.ID]) >= quotaLease && l.number == 0 && !l.skipping() {
+			q.send(now, l, QuotaRequest{To: l.to, Forwarded: true})
+		}
+	}
+}
+
+// isDown reports whether no process runs at the address of a host.
+func (q *quotas) isDown(now time.Time, id core.HostID) bool {
+	at := slices.IndexFunc(q.shares.members, func(h Host) bool { return h.ID == id })
+	return at >= 0 && q.shares.isDown(now, q.self, q.shares.members[at])
+}
+
+// checkOthers asks all other hosts that decide on teams for nothing, after one was lost.
+// If this host is cut off, it finds out with one timeout and not with one for each.
+func (q *quotas) checkOthers(now time.Time) {
+	for _, h := range q.shares.members {
+		if l := q.links[h.ID]; l != nil && l.number == 0 && !l.skipping() {
+			q.send(now, l, QuotaRequest{To: l.to})
+		}
 	}
-	return 1
 }
--- a/core/scatter/team.go
+++ b/core/scatter/team.go
@@ -82,6 +82,19 @@
 	return t.byID[id]
 }
 
+// limited returns the teams with a limit.
+func (t *Teams) limited() (teams []*Team) {
+	if t == nil {
+		return nil
+	}
+	for _, team := range t.byID {
+		if team.Quota.Limited() {
+			teams = append(teams, team)
+		}
+	}
+	return teams
+}
+
 // Identity states on whose behalf a request is sent to upstreams.
 type Identity struct {
 	// Checked is true if the configuration has teams. The headers by which the caller
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -44,7 +46,7 @@
 	defer cancel()
 	reply, err := h.peers.quota(ctx, h.platformSettings.Host, request)
 	if err != nil {
-		granted.Cause = err.Error()
+		granted.Cause, granted.Refused = err.Error(), isRefused(err)
 	} else {
 		granted.Failed, granted.Cause, granted.Grants = false, "", reply
 	}
@@ -75,6 +77,12 @@
 	return grants, nil
 }
 
+// isRefused reports whether the address of a host refused the connection. The library
+// states the cause only in the text of its error.
+func isRefused(err error) bool {
+	return status.Code(err) == codes.Unavailable && strings.Contains(err.Error(), syscall.ECONNREFUSED.Error())
+}
+
 // Quota implements edgepb.EdgeServer. The core decides, so that a host whose decision
 // loop is stuck does not grant tokens.
 func (s *peerService) Quota(ctx context.Context, r *edgepb.QuotaRequest) (*edgepb.QuotaReply, error) {
