Quotas: a host's fallback tokens are granted once in a window

A bucket that was filled after its first window had also accumulated tokens, so a burst was granted twice.

Change: after its first window with the whole quota a bucket continues as if it had started full, with what it has granted deducted. The owner counts a host for fallback tokens only once it has asked it for a window, and a successor only if no other successor was lost within the window. After a change of the gatherers there are none for a window.

--- a/core/scatter/quota.go
+++ b/core/scatter/quota.go
@@ -57,52 +57,42 @@
 // taking the capacity of others.
 //
 // Share, from 0 to 1, is the part of the quota that the bucket grants. A bucket starts
-// empty, since the tokens of the last window may have been granted elsewhere. It is filled
-// once it has granted the whole quota for a window, when that is not so any more.
+// empty, since the tokens of the last window may have been granted elsewhere. Once it has
+// granted the whole quota for a window, it continues as if it had started full.
 type quotaBucket struct {
 	tokens, capacity, perSecond float64
 	at                          time.Time
-	// wholeSince is since when the share is 1; filled is whether it was filled since.
+	// wholeSince is since when the share is 1, and ifFull what the bucket would have if
+	// it had been full then.
 	wholeSince time.Time
-	filled     bool
+	ifFull     float64
 	// fallback counts the fallback tokens that were granted.
 	fallback window
 }
 
-// minQuotaBurst is the least capacity of a bucket that grants a whole quota.
+// minQuotaBurst is the least capacity of a bucket that grants tokens.
 const minQuotaBurst = 1
 
-// takeFallback takes up to a number of fallback tokens, of which limit may be granted in
-// a window.
-func (b *quotaBucket) takeFallback(now time.Time, wanted int, limit float64, within time.Duration) (taken int) {
-	spent := b.fallback.sum(now, 0, int(math.Ceil(within.Seconds()))+1)
-	taken = max(0, min(wanted, int(limit)-spent))
-	for range taken {
-		b.fallback.add(now)
-	}
-	return taken
-}
-
 // advance adds the tokens since the last call at the rate that was in force meanwhile,
 // and then applies the given quota and share.
 func (b *quotaBucket) advance(now time.Time, q Quota, share float64, window time.Duration) {
 	if !b.at.IsZero() && now.After(b.at) {
-		b.tokens = min(b.capacity, b.tokens+b.perSecond*now.Sub(b.at).Seconds())
+		b.put(b.perSecond * now.Sub(b.at).Seconds())
 	}
 	b.at = now
-	b.capacity = share * max(minQuotaBurst, q.Burst)
+	b.perSecond = share * q.Rate
+	b.capacity = 0
 	if share > 0 {
-		b.capacity = max(minQuotaBurst, b.capacity)
+		b.capacity = max(minQuotaBurst, share*q.Burst)
 	}
-	b.perSecond = share * q.Rate
-	b.tokens = min(b.tokens, b.capacity)
+	b.put(0)
 	switch {
 	case share < 1:
-		b.wholeSince, b.filled = time.Time{}, false
+		b.wholeSince = time.Time{}
 	case b.wholeSince.IsZero():
-		b.wholeSince = now
-	case !b.filled && now.Sub(b.wholeSince) >= window:
-		b.tokens, b.filled = b.capacity, true
+		b.wholeSince, b.ifFull = now, b.capacity
+	case now.Sub(b.wholeSince) >= window:
+		b.tokens = b.ifFull
 	}
 }
 
@@ -110,15 +100,30 @@
 func (b *quotaBucket) take(wanted int) (taken int) {
 	taken = min(wanted, int(b.tokens+quotaEpsilon))
 	b.tokens -= float64(taken)
+	b.ifFull -= float64(taken)
+	return taken
+}
+
+// put adds tokens, e.g. those that were not used.
+func (b *quotaBucket) put(tokens float64) {
+	b.tokens = min(b.capacity, b.tokens+tokens)
+	b.ifFull = min(b.capacity, b.ifFull+tokens)
+}
+
+// takeFallback takes up to a number of fallback tokens, of which limit may be granted in
+// a window.
+func (b *quotaBucket) takeFallback(now time.Time, wanted int, limit float64, within time.Duration) (taken int) {
+	spent := b.fallback.sum(now, 0, int(math.Ceil(within.Seconds()))+1)
+	taken = max(0, min(wanted, int(limit)-spent))
+	for range taken {
+		b.fallback.add(now)
+	}
 	return taken
 }
 
 // quotaEpsilon prevents a rounding error from delaying a token.
 const quotaEpsilon = 1e-9
 
-// put returns tokens that were not used.
-func (b *quotaBucket) put(tokens int) { b.tokens = min(b.capacity, b.tokens+float64(tokens)) }
-
 // wait returns how long it takes until there is a token.
 func (b *quotaBucket) wait() time.Duration {
 	missing := 1 - b.tokens
--- a/core/scatter/quota_asker.go
+++ b/core/scatter/quota_asker.go
@@ -133,7 +133,7 @@
 // giveBack returns a token that was not used.
 func (q *quotas) giveBack(now time.Time, t *quotaTeam, tokens int) {
 	if _, remote := q.target(now, t); !remote {
-		q.bucket(now, t).put(tokens)
+		q.bucket(now, t).put(float64(tokens))
 		return
 	}
 	keep := max(0, min(tokens, q.reserveOf(t)-t.reserve))
@@ -163,7 +163,7 @@
 // serveLocally settles the claims on a team on which this host decides.
 func (q *quotas) serveLocally(now time.Time, t *quotaTeam) {
 	b := q.bucket(now, t)
-	b.put(t.returned)
+	b.put(float64(t.returned))
 	t.returned = 0
 	claims := t.claims
 	t.claims = nil
--- a/core/scatter/quota_owner.go
+++ b/core/scatter/quota_owner.go
@@ -62,7 +62,7 @@
 	current := q.ledger.accept(r.From, r.Started, r.Number)
 	q.shares.seenAt[r.From] = now
 	if current && !r.Forwarded {
-		q.shares.heard[r.From] = now
+		q.shares.hear(now, r.From)
 	}
 	for i, want := range r.Wants {
 		grant := &answer.Grants[i]
--- a/core/scatter/quota_share.go
+++ b/core/scatter/quota_share.go
@@ -36,6 +36,11 @@
 // delegates a share to another host, or uses it itself, only when the previous lease has
 // ended.
 //
+// While shares are missing, a host grants fallback tokens besides, up to the parts of the
+// hosts that ask it. No two hosts grant the part of one host within a window: the owner
+// counts those that have asked it for a window, and a successor only the first time that
+// the owner is replaced.
+//
 // A silent gatherer therefore takes its share of the quotas with it: it cannot be told from
 // one that is cut off. The exception is one whose address refuses connections while
 // another gatherer of its failure domain is heard: no process runs there, since whole
@@ -50,14 +55,18 @@
 	startedAt time.Time
 	// heard is when a host last delegated the shares of the teams that this host owns.
 	heard map[core.HostID]time.Time
+	// heardSince is when the host began to do so without a pause.
+	heardSince map[core.HostID]time.Time
 	// seenAt is when anything was received from a host.
 	seenAt map[core.HostID]time.Time
 	// refuses reports whether the address of a host refuses connections.
 	refuses func(core.HostID) bool
+	// skipped returns since when a host is skipped; the zero time if it is not.
+	skipped func(core.HostID) time.Time
 }
 
 func newQuotaShares() quotaShares {
-	return quotaShares{since: map[core.HostID]time.Time{}, heard: map[core.HostID]time.Time{}, seenAt: map[core.HostID]time.Time{}}
+	return quotaShares{since: map[core.HostID]time.Time{}, heard: map[core.HostID]time.Time{}, heardSince: map[core.HostID]time.Time{}, seenAt: map[core.HostID]time.Time{}}
 }
 
 // setMembers replaces the gatherers among which the quotas are divided.
@@ -87,6 +96,14 @@
 	})
 }
 
+// hear records a message by which a host delegates shares.
+func (s *quotaShares) hear(now time.Time, from core.HostID) {
+	if now.Sub(s.heard[from]) >= quotaLease {
+		s.heardSince[from] = now
+	}
+	s.heard[from] = now
+}
+
 // quotaPart is the part of a quota that a host grants.
 type quotaPart struct {
 	// quota and fallback are from 0 to 1. The fallback is 0 while all shares are here.
@@ -94,12 +111,12 @@
 }
 
 // of returns the part of a team's quota that a host grants if it decides on the team.
-func (s *quotaShares) of(now time.Time, self core.HostID, t *quotaTeam) quotaPart {
+func (s *quotaShares) of(now time.Time, self core.HostID, t *quotaTeam, window time.Duration) quotaPart {
 	if !s.isMember(self) {
 		return quotaPart{}
 	}
-	isOwner := t.owners[0].ID == self && (s.changedAt.IsZero() || now.Sub(s.changedAt) >= quotaSettled)
-	shares, asking := 0, 1
+	isOwner := t.owners[0].ID == self
+	shares, fallback := 0, 1
 	if !now.Before(t.lapsesAt) && now.Sub(s.startedAt) >= quotaLease {
 		shares++
 	}
@@ -108,21 +125,48 @@
 			continue
 		}
 		delegated := t.delegatedBy[h.ID]
-		if heard := s.heard[h.ID]; isOwner && heard.After(delegated) {
+		if heard := s.heard[h.ID]; isOwner && s.settled(now, s.changedAt) && heard.After(delegated) {
 			delegated = heard
 		}
-		isNew := !s.since[h.ID].IsZero() && now.Sub(s.since[h.ID]) < quotaSettled
 		isDown := s.isDown(now, self, h)
-		if (isDown || now.Sub(delegated) < quotaLease) && !isNew {
+		if (isDown || now.Sub(delegated) < quotaLease) && s.settled(now, s.since[h.ID]) {
 			shares++
 		}
-		if isDown || now.Sub(delegated) < quotaLease || now.Sub(t.askedBy[h.ID]) < quotaLease {
-			asking++
+		asks := now.Sub(delegated) < quotaLease || now.Sub(t.askedBy[h.ID]) < quotaLease
+		if asks && (!isOwner || now.Sub(s.heardSince[h.ID]) >= window) || isDown && now.Sub(s.seenAt[h.ID]) >= window {
+			fallback++
 		}
 	}
 	n := float64(len(s.members))
-	if shares == len(s.members) {
+	switch {
+	case shares == len(s.members):
 		return quotaPart{quota: 1}
+	case s.mayHaveFallenBack(now, self, t, window):
+		return quotaPart{quota: float64(shares) / n}
+	default:
+		return quotaPart{quota: float64(shares) / n, fallback: float64(fallback) / n}
+	}
+}
+
+// settled reports whether a change of the members at some time is known to all hosts.
+func (s *quotaShares) settled(now, changed time.Time) bool {
+	return changed.IsZero() || now.Sub(changed) >= quotaSettled
+}
+
+// mayHaveFallenBack reports whether another host may have granted the fallback of this
+// window: a successor before this one, or the host that decided before the members
+// changed.
+func (s *quotaShares) mayHaveFallenBack(now time.Time, self core.HostID, t *quotaTeam, window time.Duration) bool {
+	if !s.changedAt.IsZero() && now.Sub(s.changedAt) < window {
+		return true
+	}
+	for _, h := range t.owners[1:] {
+		if h.ID == self {
+			break
+		}
+		if now.Sub(s.skipped(h.ID)) < window {
+			return t.owners[0].ID != self
+		}
 	}
-	return quotaPart{quota: float64(shares) / n, fallback: float64(asking) / n}
+	return false
 }
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -39,6 +39,12 @@
 		shares: newQuotaShares(),
 	}
 	q.shares.refuses = func(id core.HostID) bool { return q.links[id] != nil && q.links[id].skipping() && q.links[id].refused }
+	q.shares.skipped = func(id core.HostID) time.Time {
+		if l := q.links[id]; l != nil && l.skipping() {
+			return l.since
+		}
+		return time.Time{}
+	}
 	return q
 }
 
@@ -122,13 +128,13 @@
 
 // bucket returns the bucket of a team as of now.
 func (q *quotas) bucket(now time.Time, t *quotaTeam) *quotaBucket {
-	return q.ledger.bucket(now, t.id, t.quota, q.shares.of(now, q.self, t).quota, q.limits.Window)
+	return q.ledger.bucket(now, t.id, t.quota, q.shares.of(now, q.self, t, q.limits.Window).quota, q.limits.Window)
 }
 
 // takeTokens takes tokens of a team on which this host decides. If there are not enough,
 // it returns the time until there is one.
 func (q *quotas) takeTokens(now time.Time, t *quotaTeam, wanted int) (got int, wait time.Duration) {
-	part := q.shares.of(now, q.self, t)
+	part := q.shares.of(now, q.self, t, q.limits.Window)
 	b := q.ledger.bucket(now, t.id, t.quota, part.quota, q.limits.Window)
 	got = b.take(wanted)
 	if part.fallback > 0 {
