--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -31,6 +31,8 @@
 	Revocation Revocation
 	// LearnCapacity bounds and places requests by the learned capacity of upstreams.
 	LearnCapacity bool
+	// Quota bounds the requests beyond the quotas of teams.
+	Quota QuotaLimits
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -70,6 +72,7 @@
 	unservedShare float64
 	withdrawn     bool
 	splits        map[*Route]*weightedRoundRobin
+	quotas        *quotas
 	out           *Actions
 	stats         Stats
 }
@@ -98,6 +101,11 @@
 	// Partitions counts how often this host lost its connections to the upstreams.
 	Partitions uint64
 	Capacity   CapacityStats
+	// QuotaAsked, QuotaGranted and QuotaDenied count the tokens that were requested,
+	// received and not received for requests of teams with a limit, OverQuota the
+	// requests refused, and QuotaFallbacks how often a host was skipped that grants
+	// tokens.
+	QuotaAsked, QuotaGranted, QuotaDenied, OverQuota, QuotaFallbacks uint64
 }
 
 // timerFunc is called when a timer is due.
@@ -135,6 +143,7 @@
 	// failure is the payload of the last failure answer of an upstream, which is
 	// passed on to the caller.
 	failure any
+	quota   quotaHold
 }
 
 // part is the request of a call to one service.
@@ -189,6 +198,7 @@
 		connectivity: connectivity{failing: map[*upstream]time.Time{}},
 	}
 	e.directory.learnsCapacity = options.LearnCapacity
+	e.quotas = e.newQuotas()
 	return e
 }
 
@@ -201,6 +211,7 @@
 	next.budgets = e.budgets
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.forSuccessor()
+	next.quotas.ledger, next.quotas.number = e.quotas.ledger, e.quotas.number
 	next.stats = e.stats
 	next.directory.capacityStats = e.directory.capacityStats
 	return next
@@ -279,7 +290,7 @@
 	case CallerGone:
 		e.callerGone(now, event.Call)
 	case ConfigSeen:
-		e.setConfig(event.Config)
+		e.setConfig(now, event.Config)
 	case UpstreamsListed:
 		e.directory.list(now, event.Upstreams, event.Restored, e.noteUpstream)
 		if e.connectivity.checkWhenListed {
@@ -324,6 +335,10 @@
 		e.stopBy(event.Until)
 	case LimitEnded:
 		e.handleLimitEnd(now, event.LimitEnd)
+	case QuotaGranted:
+		e.quotas.granted(now, event)
+	case QuotaAsked:
+		e.answerQuota(now, event)
 	case Tick:
 	}
 }
@@ -356,7 +371,7 @@
 }
 
 // setConfig puts a newer version in force and ignores any other.
-func (e *Engine) setConfig(c *Config) {
+func (e *Engine) setConfig(now time.Time, c *Config) {
 	if e.config != nil && c.Version <= e.config.Version {
 		return
 	}
@@ -372,6 +387,7 @@
 			delete(e.queues, id)
 		}
 	}
+	e.setQuotas(now)
 	e.note(Note{Decision: DecisionConfig, Version: c.Version})
 }
 
@@ -427,6 +443,7 @@
 	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
 		e.directory.hosts = append(e.directory.hosts, h.ID)
 	}
+	e.quotas.setGatherers(now, e.fleet.ranked[:e.fleet.gatherers()])
 	e.directory.hostCount = len(e.fleet.ranked)
 	e.directory.place = e.fleet.place()
 	for _, u := range e.directory.byID {
