--- a/edge/command/explain_test.go
+++ b/edge/command/explain_test.go
@@ -23,7 +23,11 @@
 	}
 	good := []string{"-host", "h.example", "-path", "/x/"}
 	for _, args := range [][]string{
-		{}, {"-host", "h.example"}, {"-path", "/x/"}, {"-host", "h/x", "-path", "/x"}, {"-host", "h", "-path", "x"},
+		{},
+		{"-host", "h.example"},
+		{"-path", "/x/"},
+		{"-host", "h/x", "-path", "/x"},
+		{"-host", "h", "-path", "x"},
 		append([]string{"-method", "GET IT"}, good...), append([]string{"-key-file", key}, good...),
 		append([]string{"-key-file", key + "-none"}, good...), append([]string{"-address", "nowhere"}, good...), append(good, "more"),
 	} {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -123,7 +123,7 @@
 		"partitions": stats.Partitions, "upstreams_limited": stats.Limited, "limit_refused": stats.LimitRefused,
 		"capacity_changes": stats.Capacity.Changes, "capacity_bounded": stats.Capacity.Bounded, "capacity_trials": stats.Capacity.Trials,
 		"capacity_hedges_withheld": stats.Capacity.HedgesWithheld,
-		"quota_asked": stats.QuotaAsked, "quota_granted": stats.QuotaGranted, "quota_denied": stats.QuotaDenied,
+		"quota_asked":              stats.QuotaAsked, "quota_granted": stats.QuotaGranted, "quota_denied": stats.QuotaDenied,
 		"over_quota": stats.OverQuota, "quota_fallbacks": stats.QuotaFallbacks,
 	} {
 		set(name, int64(value))
