Soak: teams, withdrawn keys and a quota

Each server run must carry the team of its caller and no key; the key of one team changes with each version, and a withdrawn one gets 401 at every host after recovery; the runs of a team with a quota stay within the bound over each window of 5 s, whatever fails.

--- a/edge/teams_test.go
+++ b/edge/teams_test.go
@@ -52,11 +52,12 @@
 				t.Errorf("host %d, %s: status %d, %v", i, path, got.status, got.err)
 			}
 			for _, server := range servers {
-				runs := cluster.servers[server].Headers(id)
+				runs := cluster.servers[server].AllRuns()[id]
 				if len(runs) == 0 {
 					t.Errorf("host %d, %s did not reach %s", i, path, server)
 				}
-				for _, header := range runs {
+				for _, run := range runs {
+					header := run.Header
 					if got := strings.Join(header["Tenant"], ","); got != "gold" || header.Get("Authorization") != "" {
 						t.Errorf("host %d, %s at %s: team %q, %d keys", i, path, server, got, len(header["Authorization"]))
 					}
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -117,8 +117,8 @@
 	waiting      int
 	runs         map[string]int // number of runs by request id
 	bodies       map[string]string
-	headers      map[string][]http.Header // of all sends, by request id
-	refused      map[string]bool          // by request id, under LateRejection
+	received     map[string][]Run // by request id
+	refused      map[string]bool  // by request id, under LateRejection
 	arrived      int
 }
 
@@ -128,7 +128,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
-	s := &Server{config: config, address: listener.Addr().String(), runs: map[string]int{}, bodies: map[string]string{}, headers: map[string][]http.Header{}, refused: map[string]bool{}}
+	s := &Server{config: config, address: listener.Addr().String(), runs: map[string]int{}, bodies: map[string]string{}, received: map[string][]Run{}, refused: map[string]bool{}}
 	s.startProcess(listener)
 	return s, nil
 }
@@ -262,11 +262,21 @@
 	return s.runs[requestID], s.bodies[requestID]
 }
 
-// Headers returns the headers of all runs of a request.
-func (s *Server) Headers(requestID string) []http.Header {
+// Run is one run of a request.
+type Run struct {
+	At     time.Time
+	Header http.Header
+}
+
+// AllRuns returns the runs of all requests, by request ID.
+func (s *Server) AllRuns() map[string][]Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.headers[requestID])
+	all := make(map[string][]Run, len(s.received))
+	for id, runs := range s.received {
+		all[id] = slices.Clone(runs)
+	}
+	return all
 }
 
 // Arrived returns the number of requests received, including those that were
@@ -371,7 +381,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	s.bodies[id] = body
-	s.headers[id] = append(s.headers[id], r.Header)
+	s.received[id] = append(s.received[id], Run{At: time.Now(), Header: r.Header})
 	if deadly {
 		s.crashTimes = append(s.crashTimes, time.Now())
 	}
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -62,7 +62,7 @@
 
 func newProbeClient() *http.Client { return &http.Client{Timeout: 4 * time.Second} }
 
-func sendRequest(client *http.Client, h *host, method, path, id, body string) (status int, header http.Header, data []byte) {
+func sendRequest(f *fleet, client *http.Client, h *host, method, path, id, body string) (status int, header http.Header, data []byte) {
 	request, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0, nil, nil
@@ -70,6 +70,7 @@
 	request.Host = "soak"
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "2000")
+	f.identify(request.Header, id)
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, nil, nil
@@ -90,7 +91,7 @@
 // gather sends a gather request. It checks that the parts of a successful answer
 // are complete and belong to the shards of one configuration version.
 func (c *checker) gather(client *http.Client, h *host, id string) {
-	status, header, body := sendRequest(client, h, http.MethodGet, "/gather/x", id, "")
+	status, header, body := sendRequest(c.fleet, client, h, http.MethodGet, "/gather/x", id, "")
 	c.count("gather", status)
 	if status != http.StatusOK {
 		return
@@ -136,7 +137,7 @@
 // order sends a request that must not run twice and records its status, which
 // checkOrders compares with the runs at the servers.
 func (c *checker) order(client *http.Client, h *host, id string) {
-	status, header, body := sendRequest(client, h, http.MethodPost, "/order/x", id, "one "+id)
+	status, header, body := sendRequest(c.fleet, client, h, http.MethodPost, "/order/x", id, "one "+id)
 	c.count("order", status)
 	c.recordOrder(id, status)
 	if status != http.StatusOK {
@@ -163,7 +164,7 @@
 		case <-time.After(time.Duration(random.Float64() * 2 * float64(meanCrashRequestInterval))):
 		}
 		h := c.fleet.hosts[random.IntN(len(c.fleet.hosts))]
-		status, _, _ := sendRequest(client, h, http.MethodGet, "/file/deadly", fmt.Sprint("deadly-", i), "")
+		status, _, _ := sendRequest(c.fleet, client, h, http.MethodGet, "/file/deadly", fmt.Sprint("deadly-", i), "")
 		c.count("deadly", status)
 	}
 }
@@ -191,7 +192,7 @@
 		switch {
 		case runs > 1:
 			c.violated("%s ran %d times", id, runs)
-		case status == http.StatusServiceUnavailable && runs > 0:
+		case (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized) && runs > 0:
 			c.violated("%s was refused and has run", id)
 		case status == http.StatusOK && runs != 1:
 			c.violated("%s was answered without a run", id)
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -49,6 +49,7 @@
 	fileServers []*serverstub.Server
 
 	limits map[string]float64 // of the servers that state one
+	teams  bool               // the configuration has teams
 
 	mu        sync.Mutex
 	version   int
@@ -104,8 +105,8 @@
 	disturbed []time.Time
 }
 
-func newFleet(program, folder string, hosts int) (*fleet, error) {
-	f := &fleet{program: program, folder: folder, store: platformstub.New(), written: map[[2]string]any{}}
+func newFleet(program, folder string, hosts int, teams bool) (*fleet, error) {
+	f := &fleet{program: program, folder: folder, teams: teams, store: platformstub.New(), written: map[[2]string]any{}}
 	f.storeServer = httptest.NewServer(f.store)
 	for i := range shards {
 		for j := range serversPerShard {
@@ -202,14 +203,18 @@
 	for _, name := range []string{"shard-0", "shard-1", "shard-2", "orders", "files"} {
 		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 60})
 	}
-	return f.put("config", "main", map[string]any{
+	config := map[string]any{
 		"version": f.version, "services": services, "limits": map[string]any{"max_body_bytes": 1 << 20},
 		"routes": []any{
 			with(map[string]any{"name": "gather", "path_prefix": "/gather/", "kind": "idempotent", "gather": set, "top_k": 4, "min_coverage": 0.5}),
 			with(map[string]any{"name": "order", "path_prefix": "/order/", "kind": "non_idempotent", "service": "orders"}),
 			with(map[string]any{"name": "file", "path_prefix": "/file/", "kind": "idempotent", "service": "files"}),
 		},
-	})
+	}
+	if f.teams {
+		config["tenants"] = teamSpecs(f.version)
+	}
+	return f.put("config", "main", config)
 }
 
 func (f *fleet) addHost(i int) error {
--- a/standin/soak/partition.go
+++ b/standin/soak/partition.go
@@ -71,7 +71,7 @@
 		if i/len(j.fleet.hosts)%2 == 0 {
 			method, path, body = http.MethodPost, "/order/x", "one "+id
 		}
-		status, _, _ := sendRequest(newProbeClient(), h, method, path, id, body)
+		status, _, _ := sendRequest(j.fleet, newProbeClient(), h, method, path, id, body)
 		if method == http.MethodPost {
 			j.checker.recordOrder(id, status)
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -61,7 +61,7 @@
 	if err := os.MkdirAll(config.Folder, 0o755); err != nil {
 		return Result{}, eris.Wrap(err, "folder")
 	}
-	f, err := newFleet(config.Program, config.Folder, config.Hosts)
+	f, err := newFleet(config.Program, config.Folder, config.Hosts, hasTeams(config.Seed))
 	if err != nil {
 		if f != nil {
 			f.close()
@@ -96,6 +96,7 @@
 	callers.Wait()
 	time.Sleep(100 * time.Millisecond) // requests in flight at servers finish
 	c.checkOrders()
+	c.checkTeams()
 	c.checkLimits()
 	return Result{Violations: c.violations, Answered: c.answered, Faults: j.injected}, nil
 }
@@ -139,6 +140,7 @@
 			c.violated("%s: order %d after recovery", h.name, status)
 		}
 	}
+	c.checkWithdrawnKey()
 }
 
 func partStamps(header http.Header) []string { return strings.Split(header.Get("Part-Stamps"), ",") }
@@ -187,7 +189,7 @@
 	if method == http.MethodPost {
 		body = "one " + id
 	}
-	status, header, _ = sendRequest(newProbeClient(), h, method, path, id, body)
+	status, header, _ = sendRequest(c.fleet, newProbeClient(), h, method, path, id, body)
 	if method == http.MethodPost {
 		c.recordOrder(id, status)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -14,6 +14,7 @@
 var seeds = map[uint64]string{
 	100: "a question that many callers ask was quarantined after two lost answers",
 	1:   "a short run of fresh faults",
+	3:   "a short run with teams: keys are withdrawn, one team has a quota",
 }
 
 func TestSeeds(t *testing.T) {
