Quotas: the successor decides until its leases have ended

Change: a successor counts a host for fallback tokens only if the host began to ask it when the owner was lost, and no host that started within the window has any. A host that answers again is asked once the leases of its successor have ended, which grants tokens until then.

--- a/core/scatter/quota_asker.go
+++ b/core/scatter/quota_asker.go
@@ -32,9 +32,13 @@
 	decider  *quotaLink
 	lapsesAt time.Time
 	lapsesBy *quotaLink // whose lease it is
+	// delegatedAt is when this host last delegated its share.
+	delegatedAt time.Time
 	// delegatedBy and askedBy are when other hosts last named the team in a delegation,
 	// and asked for tokens of it.
 	delegatedBy, askedBy map[core.HostID]time.Time
+	// asksSince is when a host began to do either without a pause.
+	asksSince map[core.HostID]time.Time
 }
 
 // quotaClaim waits for tokens: one for a request, or more for another host.
@@ -56,8 +60,11 @@
 	delegatedAt time.Time
 	skipped     time.Time // until when the host is not asked; zero if it is
 	since       time.Time // of skipped
-	losses      int       // in a row
-	refused     bool      // whether the last one was a refused connection
+	// returning is true if the host answers again. It is asked once the leases of its
+	// successor have ended, which grants tokens until then.
+	returning bool
+	losses    int  // in a row
+	refused   bool // whether the last one was a refused connection
 }
 
 // skipping reports whether the host is not asked at present.
@@ -68,8 +75,8 @@
 func (q *quotas) target(now time.Time, t *quotaTeam) (*quotaLink, bool) {
 	decider := q.decider(now, t)
 	if old := t.decider; old != decider {
-		if old != nil && !old.delegatedAt.IsZero() {
-			t.lapsesAt, t.lapsesBy = latest(t.lapsesAt, old.delegatedAt.Add(quotaLease)), old
+		if old != nil && !t.delegatedAt.IsZero() {
+			t.lapsesAt, t.lapsesBy = latest(t.lapsesAt, t.delegatedAt.Add(quotaLease)), old
 		}
 		t.decider = decider
 	}
@@ -234,6 +241,7 @@
 func (q *quotas) delegate(now time.Time, l *quotaLink, request QuotaRequest) QuotaRequest {
 	changed := !q.shares.changedAt.IsZero() && now.Sub(q.shares.changedAt) < 2*quotaSettled
 	var named []QuotaWant
+	var delegated []*quotaTeam
 	for _, t := range q.sorted {
 		if t.decider != l {
 			continue
@@ -243,17 +251,50 @@
 			request.Forwarded = request.Forwarded || owned
 			continue
 		}
+		if !owned && q.handsBack(t) {
+			continue
+		}
 		if !owned || changed {
 			named = append(named, QuotaWant{Team: t.id})
 		}
+		delegated = append(delegated, t)
+	}
+	if request.Forwarded {
+		return request
 	}
-	if !request.Forwarded {
-		request.Wants = append(request.Wants, named...)
-		l.delegatedAt = now
+	request.Wants = append(request.Wants, named...)
+	l.delegatedAt = now
+	for _, t := range delegated {
+		t.delegatedAt = now
 	}
 	return request
 }
 
+// handsBack reports whether a host that decides on a team before the present one is about
+// to be asked again.
+func (q *quotas) handsBack(t *quotaTeam) bool {
+	for _, h := range t.owners {
+		l := q.links[h.ID]
+		if l == t.decider || h.ID == q.self {
+			break
+		}
+		if l != nil && l.returning {
+			return true
+		}
+	}
+	return false
+}
+
+// endSkip asks a host again that was skipped.
+func (q *quotas) endSkip(now time.Time, l *quotaLink) {
+	if !l.returning {
+		return
+	}
+	l.skipped, l.returning = time.Time{}, false
+	q.note(Note{Decision: DecisionQuotaOwnerBack, Upstream: core.UpstreamID(l.to.ID), Age: now.Sub(l.since)})
+	q.askAll(now)
+}
+
 const (
 	// quotaReplyTimeout is how long a host may take to grant tokens. A request has
 	// about 80 ms, and the next host has to be asked within them.
@@ -280,9 +321,9 @@
 	asked := l.asked
 	q.shares.seenAt[r.From] = now
 	l.number, l.asked, l.losses, l.refused = 0, nil, 0, false
-	if l.skipping() {
-		l.skipped = time.Time{}
-		q.note(Note{Decision: DecisionQuotaOwnerBack, Upstream: core.UpstreamID(l.to.ID), Age: now.Sub(l.since)})
+	if l.skipping() && !l.returning {
+		l.returning = true
+		q.after(now.Add(quotaLease), func(now time.Time) { q.endSkip(now, l) })
 	}
 	for _, want := range asked {
 		t := q.teams[want.Team]
@@ -340,7 +381,7 @@
 
 // skip stops asking a host for a bounded time, and asks the next one.
 func (q *quotas) skip(now time.Time, l *quotaLink, failed QuotaGranted) {
-	l.number, l.asked, l.refused = 0, nil, failed.Refused
+	l.number, l.asked, l.refused, l.returning = 0, nil, failed.Refused, false
 	q.stats.QuotaFallbacks++
 	if !l.skipping() {
 		l.since = now
@@ -353,7 +394,7 @@
 	l.losses++
 	l.skipped = now.Add(wait)
 	q.after(l.skipped, func(now time.Time) {
-		if l.skipping() && !now.Before(l.skipped) {
+		if l.skipping() && !l.returning && !now.Before(l.skipped) {
 			q.probe(now, l)
 		}
 	})
--- a/core/scatter/quota_owner.go
+++ b/core/scatter/quota_owner.go
@@ -77,6 +77,9 @@
 			continue
 		}
 		t := q.team(want.Team, quota)
+		if now.Sub(latest(t.delegatedBy[r.From], t.askedBy[r.From])) >= 2*quotaLease {
+			t.asksSince[r.From] = now
+		}
 		if want.Tokens == 0 && want.Returned == 0 {
 			t.delegatedBy[r.From] = now
 			continue
--- a/core/scatter/quota_share.go
+++ b/core/scatter/quota_share.go
@@ -20,6 +20,8 @@
 	// quotaSettleTime is how long after a change of the gatherers the previous ones
 	// decide. All hosts learn of a change within it.
 	quotaSettleTime = time.Second
+	// quotaTakeover is how long after the loss of the owner the hosts ask its successor.
+	quotaTakeover = time.Second
 	// quotaSettled is how long after that a host counts only the shares of hosts that
 	// state to which host they delegate them.
 	quotaSettled = time.Second
@@ -38,8 +40,8 @@
 //
 // While shares are missing, a host grants fallback tokens besides, up to the parts of the
 // hosts that ask it. No two hosts grant the part of one host within a window: the owner
-// counts those that have asked it for a window, and a successor only the first time that
-// the owner is replaced.
+// counts those that have asked it for a window, and a successor also those that ask it
+// since it lost the owner.
 //
 // A silent gatherer therefore takes its share of the quotas with it: it cannot be told from
 // one that is cut off. The exception is one whose address refuses connections while
@@ -133,7 +135,12 @@
 			shares++
 		}
 		asks := now.Sub(delegated) < quotaLease || now.Sub(t.askedBy[h.ID]) < quotaLease
-		if asks && (!isOwner || now.Sub(s.heardSince[h.ID]) >= window) || isDown && now.Sub(s.seenAt[h.ID]) >= window {
+		since := s.heardSince[h.ID]
+		if !isOwner {
+			since = t.asksSince[h.ID]
+		}
+		first := !isOwner && since.Sub(s.skipped(t.owners[0].ID)).Abs() < quotaTakeover
+		if asks && (first || now.Sub(since) >= window) || isDown && now.Sub(s.seenAt[h.ID]) >= window {
 			fallback++
 		}
 	}
@@ -154,10 +161,10 @@
 }
 
 // mayHaveFallenBack reports whether another host may have granted the fallback of this
-// window: a successor before this one, or the host that decided before the members
-// changed.
+// window: a successor before this one, the one that decided while this host was down, or
+// before the members changed.
 func (s *quotaShares) mayHaveFallenBack(now time.Time, self core.HostID, t *quotaTeam, window time.Duration) bool {
-	if !s.changedAt.IsZero() && now.Sub(s.changedAt) < window {
+	if !s.changedAt.IsZero() && now.Sub(s.changedAt) < window || now.Sub(s.startedAt) < window {
 		return true
 	}
 	for _, h := range t.owners[1:] {
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -86,7 +86,7 @@
 	if t == nil {
 		t = &quotaTeam{
 			id: id, declined: map[core.HostID]time.Time{}, owners: rankQuotaOwners(id, q.shares.members),
-			delegatedBy: map[core.HostID]time.Time{}, askedBy: map[core.HostID]time.Time{},
+			delegatedBy: map[core.HostID]time.Time{}, askedBy: map[core.HostID]time.Time{}, asksSince: map[core.HostID]time.Time{},
 		}
 		q.teams[id] = t
 		q.sortTeams()
