--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -21,6 +22,24 @@
 // version is set at link time.
 var version = "development"
 
+// revisionLength is how much of a commit names a build.
+const revisionLength = 12
+
+// buildName returns the version of the program, with the commit from which it was built if
+// the build recorded one.
+func buildName() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return version
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= revisionLength {
+			return version + " " + s.Value[:revisionLength]
+		}
+	}
+	return version
+}
+
 // heapFraction is the fraction of the host's memory limit at which the garbage
 // collector runs more often to keep the heap small; the rest is headroom for
 // stacks and buffers outside the heap.
@@ -59,7 +78,7 @@
 			{
 				Name: "version", ShortUsage: "samphirebeam-edge version", ShortHelp: "print the version",
 				Exec: func(context.Context, []string) error {
-					_, err := fmt.Println("samphirebeam-edge", version)
+					_, err := fmt.Println("samphirebeam-edge", buildName())
 					return err
 				},
 			},
@@ -100,7 +119,7 @@
 	}
 	debug.SetGCPercent(settings.GarbagePercent)
 	debug.SetMemoryLimit(int64(math.Round(heapFraction * float64(platformSettings.MemoryBytes))))
-	host, err := edge.New(settings, platformSettings, os.Stdout, options...)
+	host, err := edge.New(settings, platformSettings, os.Stdout, append(slices.Clip(options), edge.WithBuild(buildName()))...)
 	if err != nil {
 		return err
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -44,6 +44,7 @@
 	logWriter        io.Closer
 	metrics          *hostMetrics
 	panics           *panicHandler
+	build            string
 	inbox            *ring.Ring[input]
 	decision         *decisionLoop
 	frontend         *frontend
@@ -74,6 +75,9 @@
 // connections have to implement syscall.Conn, and SetLinger as a net.TCPConn does.
 func WithUpstreamDialer(dial DialFunc) Option { return func(h *Host) { h.sender.dial = dial } }
 
+// WithBuild sets the name of the build that the host logs at its start.
+func WithBuild(name string) Option { return func(h *Host) { h.build = name } }
+
 // New opens the host's listeners and creates its workers, which Run starts.
 func New(settings Settings, platformSettings platform.HostSettings, out io.Writer, options ...Option) (*Host, error) {
 	level, err := zerolog.ParseLevel(settings.LogLevel)
@@ -349,7 +353,7 @@
 // Run serves until ctx ends, then stops gracefully. If a worker fails, Run
 // returns its error at once.
 func (h *Host) Run(ctx context.Context) error {
-	h.log.Info().Str("event", "start").Str("callers", h.platformSettings.Callers).Str("store", h.platformSettings.Store).Msg("starting the host")
+	h.log.Info().Str("event", "start").Str("build", h.build).Str("callers", h.platformSettings.Callers).Str("store", h.platformSettings.Store).Msg("starting the host")
 	workers, stopWorkers := context.WithCancel(context.Background())
 	defer stopWorkers()
 	failed := make(chan error, 1)
