Refusals over quota say nothing about the host

Cause: a 429 that another host answered counted as a served request when an entry host decides whether to turn callers away. A host that is no gatherer and reaches none answered 429 although it cannot know whether the team is within its quota.

Change: a handover that ends with 429 changes neither that decision nor the estimates of the other host. A host that cannot find out refuses with 503. Refusals over quota have their own kind of log line, so that many of them do not suppress other refusals.

Measured: the tests of waiting requests, of callers that leave, of deadlines, planned stops, repeated messages and of the decision to turn callers away pass.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -236,6 +236,7 @@
 	DecisionReconnected            Decision = "upstreams_reachable"
 	DecisionWithdraw               Decision = "callers_turned_away"
 	DecisionReturn                 Decision = "callers_taken_again"
+	DecisionOverQuota              Decision = "over_quota"
 	DecisionQuotaOwnerSkipped      Decision = "quota_owner_skipped"
 	DecisionQuotaOwnerBack         Decision = "quota_owner_back"
 )
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -503,9 +503,12 @@
 	}
 	e.out.Answers = append(e.out.Answers, answer)
 	decision := DecisionAnswer
-	if answer.Kind == Refused || answer.Kind == Declined || answer.Kind == Interrupted || answer.Kind == OverQuota {
+	if answer.Kind == Refused || answer.Kind == Declined || answer.Kind == Interrupted {
 		decision = DecisionRefuse
 	}
+	if answer.Kind == OverQuota {
+		decision = DecisionOverQuota
+	}
 	detail := answer.Kind.String()
 	if why != "" {
 		detail += ": " + why
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -104,6 +104,8 @@
 	Payload any
 	// Partitioned is true if the host declined since it reaches no upstreams.
 	Partitioned bool
+	// OverQuota is true if the host refused the request because of its team's quota.
+	OverQuota bool
 	// Took is how long the host worked on the request, without the network time.
 	Took  time.Duration
 	Cause string
--- a/core/scatter/export_test.go
+++ b/core/scatter/export_test.go
@@ -10,3 +10,6 @@
 
 // RankQuotaOwners is exported for tests.
 var RankQuotaOwners = rankQuotaOwners
+
+// UnservedShare returns the share of requests that were not served.
+func (e *Engine) UnservedShare() float64 { return e.unservedShare }
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -331,6 +331,10 @@
 		e.recordDomainAlive(now, p.Domain)
 	}
 	switch {
+	case r.OverQuota:
+		p.failures, p.declines = 0, 0
+		e.finishHandover(now, h, Answer{Kind: PassedOn, Payload: r.Payload})
+		return
 	case r.Outcome == Succeeded || r.Outcome == Failed:
 		p.failures, p.declines = 0, 0
 		if !h.repeated {
@@ -405,6 +409,12 @@
 // request counts as served when this host decides whether to turn callers away.
 func (e *Engine) endHandover(now time.Time, h *handover, answer Answer, served bool) {
 	e.recordResult(now, served)
+	e.finishHandover(now, h, answer)
+}
+
+// finishHandover answers a request that was handed over, whose answer says nothing about
+// whether this host can serve callers.
+func (e *Engine) finishHandover(now time.Time, h *handover, answer Answer) {
 	answer.Call = h.request.Call
 	e.dropHandover(h)
 	e.out.Answers = append(e.out.Answers, answer)
--- a/core/scatter/quota_engine.go
+++ b/core/scatter/quota_engine.go
@@ -65,6 +65,8 @@
 	claim.settle = func(now time.Time, got int, wait time.Duration) {
 		c.quota.claim = nil
 		switch {
+		case got == 0 && !e.quotas.canDecide(now, t):
+			e.refuse(now, c, "no gatherer that decides on quotas can be reached")
 		case got == 0:
 			e.refuseOverQuota(now, c, wait)
 		case !e.endsBeforeStop(now, c.wanted, e.usualLatency(c.route, c.parts[0].service).estimate):
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -149,6 +149,13 @@
 	return got, wait
 }
 
+// canDecide reports whether this host can find out whether a team is within its quota: it
+// is a gatherer, or reaches one.
+func (q *quotas) canDecide(now time.Time, t *quotaTeam) bool {
+	_, remote := q.target(now, t)
+	return remote || q.shares.isMember(q.self)
+}
+
 // minQuotaWait is the shortest time until there is a token that is stated: 0 states that
 // all tokens were granted.
 const minQuotaWait = time.Millisecond
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -48,6 +48,8 @@
 	storedSuspects [][]scatter.Suspect // reports stored for all hosts
 
 	connectivityChecks int
+	quotaRequests      []scatter.QuotaRequest
+	quotaReplies       []scatter.QuotaReply
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -80,6 +82,7 @@
 	r.engine.Step(r.now, event, &out)
 	r.notes = append(r.notes, out.Notes...)
 	r.cancels = append(r.cancels, out.Cancels...)
+	r.quotaRequests, r.quotaReplies = append(r.quotaRequests, out.QuotaRequests...), append(r.quotaReplies, out.QuotaReplies...)
 	if out.Silent != nil {
 		r.silentReports = append(r.silentReports, out.Silent.Hosts)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -137,7 +137,7 @@
 	case err == nil && (reply.Status < 200 || reply.Status > 599):
 		ended.Outcome, ended.Cause = scatter.Lost, fmt.Sprintf("status %d", reply.Status)
 	case err == nil:
-		ended.Outcome = scatter.Succeeded
+		ended.Outcome, ended.OverQuota = scatter.Succeeded, reply.Status == http.StatusTooManyRequests
 		if reply.Status >= http.StatusInternalServerError {
 			ended.Outcome = scatter.Failed
 		}
