Feeds without a call count a refusing store as failed

Cause: a feed whose calls wait for the probe of another feed made none itself, so its gap did not say that the store had failed. The host combines the gaps of all feeds, so entries were still kept, but only because of the other feed.

Change: a feed that is held back by a refusal records it.

--- a/core/scatter/store_backoff.go
+++ b/core/scatter/store_backoff.go
@@ -94,6 +94,9 @@
 // to read the store because no other host's stream works: the store may be the cause.
 func (b *StoreBackoff) Doubt() { b.unproven = true }
 
+// Refused reports whether the store refused this host's last call.
+func (b *StoreBackoff) Refused() bool { return b.refusals > 0 }
+
 // waitForProbe is returned while another call runs whose result is needed first.
 const waitForProbe = time.Hour
 
--- a/edge/store_calls_test.go
+++ b/edge/store_calls_test.go
@@ -1,7 +1,11 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -79,3 +83,52 @@
 		t.Errorf("%d calls by purpose, %d in all", sum, got)
 	}
 }
+
+// TestRegistrationsRunOneAtATime guards against registrations that add up while the store
+// refuses them, since the record is found outdated or missing again and again.
+func TestRegistrationsRunOneAtATime(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	if err := cluster.store.SetFaults(platformstub.Faults{Busy: true}); err != nil {
+		t.Fatal(err)
+	}
+	address := func() string { return freeAddress(t) }
+	h, err := New(DefaultSettings(), platform.HostSettings{
+		Host: "h", Domain: "d1", IP: "127.0.0.1", Callers: address(), Readiness: address(), Control: address(), Store: cluster.address, Contact: contactTime,
+	}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.closeListeners()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*contactTime)
+	defer cancel()
+	var tasks sync.WaitGroup
+	for range 10 {
+		tasks.Go(func() { h.registry.register(ctx) })
+	}
+	tasks.Wait()
+	if got := h.objects.CallsByPurpose()[platform.PurposeRegister]; got < 2 || got > 8 {
+		t.Errorf("%d calls in %v", got, 2*contactTime)
+	}
+}
+
+// TestHeldFeedsCountTheStoreAsFailed guards against entries that expired in an outage of
+// the store and are taken for removed ones, because the feed made no call of its own.
+func TestHeldFeedsCountTheStoreAsFailed(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t)
+	if err := cluster.store.SetFaults(platformstub.Faults{Busy: true}); err != nil {
+		t.Fatal(err)
+	}
+	h := cluster.launchHost("d1", "h", 1)
+	for name, hub := range h.registry.hubs {
+		eventually(t, func() error {
+			hub.mu.Lock()
+			defer hub.mu.Unlock()
+			if !hub.storeFailing {
+				return errors.New(name + ": the store has not failed")
+			}
+			return nil
+		})
+	}
+}
--- a/edge/store_gate.go
+++ b/edge/store_gate.go
@@ -33,21 +33,21 @@
 
 // begin waits until a call may start; it returns false if ctx ends first. Retry is true
 // if the last call of this purpose was refused. OnWait, if set, is called if the call
-// has to wait.
-func (g *storeGate) begin(ctx context.Context, retry, urgent bool, onWait func()) (storeCall, bool) {
+// has to wait, with whether that is because of a refused call.
+func (g *storeGate) begin(ctx context.Context, retry, urgent bool, onWait func(refused bool)) (storeCall, bool) {
 	for ctx.Err() == nil {
 		s := g.situation()
 		s.Urgent = urgent
 		now := time.Now()
 		g.mu.Lock()
 		wait, probe := g.backoff.Begin(now, s, retry)
-		changed := g.changed
+		changed, refused := g.changed, g.backoff.Refused()
 		g.mu.Unlock()
 		if wait <= 0 {
 			return storeCall{started: now, probe: probe}, true
 		}
 		if onWait != nil {
-			onWait()
+			onWait(refused)
 		}
 		timer := time.NewTimer(wait)
 		select {
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -127,10 +127,11 @@
 	r.log.Info().Str("event", "dependency_regained").Str("dependency", "store").Str("feed", r.hub.feed.Name).Msg("the store answers")
 }
 
-// held records that this feed has no call, since the store refuses the host's calls.
-func (r *storeReader) held() {
+// held records that this feed has no call. If the store refuses the host's calls, that
+// counts for this feed too: entries that it lacks later may have expired meanwhile.
+func (r *storeReader) held(refused bool) {
 	r.failures = 0
-	if r.up {
+	if refused {
 		r.up = false
 		r.hub.setStoreUp(false, true)
 	}
