One account of the memory that callers make a host hold

Cause: a head costs many times its bytes once it is parsed, and net/http parses up to 256 KB of it before the operators' limit applies; 64 KB of each body and the connections were not counted; nothing bounded the connections. Ruled out: a lower http.Server.MaxHeaderBytes alone, since 1,500 legal heads of 16 KB in short fields take 325 MB; a parser of our own.

Change: a net.Listener and net.Conn of each HTTP port. A connection charges 28 KB to the account (platform.Memory, 0.3 of the machine's memory); a head reserves twice its bytes and 256 bytes a line before it is parsed; a body is reserved from its first byte; an answer that is written is charged. Callers' connections are bounded by 3/8 of the descriptors and half of the account. When connections or memory run out, core/clients.Eviction selects which connections give way; a body is then answered with 408, a head with 503, since neither has run. Reservations under 64 KB may use the last eighth of the account. Bodies without a byte for the idle timeout and answers without a byte accepted for 30 s are closed. The readiness and metrics ports have accounts of their own. limits.max_fds is read. At most one log line per second, cause and port.

--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/clients"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
@@ -49,6 +50,7 @@
 	maxHeaderBytes atomic.Int64
 	maxBodyBytes   atomic.Int64
 	memory         *platform.Memory
+	conns          *clientConns
 	panics         *panicHandler
 	idleTimeout    atomic.Int64 // nanoseconds
 
@@ -57,17 +59,19 @@
 	idle  map[net.Conn]time.Time // callers' idle connections, and since when
 }
 
-func newFrontend(tryEnqueue func(scatter.Event) bool, m *hostMetrics, memory *platform.Memory, p *panicHandler) *frontend {
+func newFrontend(tryEnqueue func(scatter.Event) bool, m *hostMetrics, memory *platform.Memory, maxConns int, log *clientLog, p *panicHandler) *frontend {
 	f := &frontend{tryEnqueue: tryEnqueue, metrics: m, memory: memory, panics: p, calls: map[core.CallID]*pendingRequest{}, idle: map[net.Conn]time.Time{}}
 	f.maxHeaderBytes.Store(fallbackHeaderBytes)
 	f.maxBodyBytes.Store(fallbackBodyBytes)
 	f.idleTimeout.Store(int64(fallbackIdleTimeout))
+	f.conns = newClientConns("callers", maxConns, memory, f.maxHeaderBytes.Load, log)
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: fallbackHeaderTimeout,
 		MaxHeaderBytes:    maxParsedHeaderBytes,
 		ErrorLog:          p.standardLog("callers"),
 		ConnState:         f.connState,
+		ConnContext:       withClientConn,
 	}
 	return f
 }
@@ -87,6 +91,7 @@
 
 // connState tracks which connections are idle.
 func (f *frontend) connState(c net.Conn, state http.ConnState) {
+	setConnState(c, state)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if state == http.StateIdle {
@@ -109,7 +114,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			f.closeIdleBefore(now.Add(-time.Duration(f.idleTimeout.Load())))
+			idleTimeout := time.Duration(f.idleTimeout.Load())
+			f.closeIdleBefore(now.Add(-idleTimeout))
+			f.conns.closeStalled(now, idleTimeout)
 		}
 	}
 }
@@ -141,11 +148,13 @@
 	f.closeIfDraining(w)
 	request, err := f.readRequest(w, r)
 	if err != nil {
+		setClientPhase(r.Context(), clients.Answer)
 		platform.WriteReadError(w, err)
 		f.metrics.unreadRequests.Inc(1)
 		return
 	}
 	defer request.Release()
+	setClientPhase(r.Context(), clients.Running)
 	started := time.Now()
 	submitted = true
 	answer, callerGone := f.submit(r.Context(), request, scatter.RequestArrived{At: started})
@@ -153,7 +162,8 @@
 		panic(http.ErrAbortHandler) // otherwise the library would answer 200
 	}
 	f.closeIfDraining(w)
-	f.writeReply(w, platform.Render(request, answer))
+	setClientPhase(r.Context(), clients.Answer)
+	f.writeReply(r.Context(), w, platform.Render(request, answer))
 	f.metrics.latency.UpdateSince(started)
 }
 
@@ -191,11 +201,12 @@
 }
 
 // writeReply writes an answer to the caller.
-func (f *frontend) writeReply(w http.ResponseWriter, reply *platform.Reply) {
+func (f *frontend) writeReply(ctx context.Context, w http.ResponseWriter, reply *platform.Reply) {
 	defer reply.Release()
 	control := http.NewResponseController(w)
 	long := len(reply.Body) > largeBodyBytes
 	if long {
+		defer holdAnswer(ctx, f.memory, len(reply.Body))()
 		// Fails only if the writer supports no deadline, as in tests.
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
@@ -267,7 +278,7 @@
 
 // run serves callers until the server is shut down.
 func (f *frontend) run(listener net.Listener) error {
-	if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(f.conns.on(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/edge/host.go
+++ b/edge/host.go
@@ -39,10 +39,6 @@
 	shutdownShare    = 0.93
 	// pingTimeout ends a ping. Its answer is of no use long before that.
 	pingTimeout = time.Second
-	// bodyMemoryShare is the fraction of the process's memory that the large
-	// bodies of all requests and answers in flight may use. The heap limit
-	// leaves room for twice as much.
-	bodyMemoryShare = 0.25
 )
 
 // Host is one host of the query tier.
@@ -64,6 +60,7 @@
 	suspects         *suspectWriter
 	peerServer       *grpc.Server // serves other hosts
 	notes            *noteWriter
+	clientLog        *clientLog
 	ready            atomic.Bool
 	stopping         atomic.Bool
 	upstreamLinks    upstreamLinks // published by the core
@@ -103,13 +100,15 @@
 	})
 	h.panics = &panicHandler{log: h.log, count: h.metrics.panics}
 	h.notes = newNoteWriter(h.log)
-	memory := platform.NewMemory(int64(bodyMemoryShare * float64(platformSettings.MemoryBytes)))
+	callerMemory, callerConns := callerLimits(platformSettings)
+	memory := platform.NewMemory(callerMemory)
+	h.clientLog = newClientLog(h.log, h.metrics.registry)
 	h.sender = newSender(h.enqueue, memory, h.panics)
 	h.relays = newRelayLinks(h.peers, h.panics, func(r scatter.AttemptEnded) {
 		h.sender.untrack(r.Attempt)
 		h.enqueue(r)
 	})
-	h.frontend = newFrontend(h.tryEnqueue, h.metrics, memory, h.panics)
+	h.frontend = newFrontend(h.tryEnqueue, h.metrics, memory, callerConns, h.clientLog, h.panics)
 	self := scatter.Host{ID: platformSettings.Host, Domain: platformSettings.Domain, Address: platformSettings.Control, Cores: platformSettings.Cores}
 	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, h.deliver)
 	h.registry.contactTime = platformSettings.Contact
@@ -395,20 +394,26 @@
 	h.workers.Go(func() { h.suspects.run(ctx) })
 	runServer(func() error { return h.peerServer.Serve(h.peerListener) })
 	runServer(func() error { return h.frontend.run(h.callerListener) })
-	runServer(func() error { return h.serveUntilClosed(h.readinessListener, http.HandlerFunc(h.serveReady)) })
+	runServer(func() error {
+		return h.serveUntilClosed("readiness", h.readinessListener, http.HandlerFunc(h.serveReady))
+	})
 	if h.metricsListener != nil {
 		router := chi.NewRouter()
 		router.Get("/metrics", h.serveMetrics)
-		runServer(func() error { return h.serveUntilClosed(h.metricsListener, router) })
+		runServer(func() error { return h.serveUntilClosed("metrics", h.metricsListener, router) })
 	}
 }
 
 // serveUntilClosed serves HTTP on a listener until it is closed.
-func (h *Host) serveUntilClosed(listener net.Listener, handler http.Handler) error {
+func (h *Host) serveUntilClosed(port string, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: fallbackHeaderTimeout, IdleTimeout: fallbackIdleTimeout,
-		MaxHeaderBytes: fallbackHeaderBytes, ErrorLog: h.panics.standardLog("admin"),
+		ReadTimeout: fallbackHeaderTimeout, WriteTimeout: writeTimeout,
+		MaxHeaderBytes: adminHeaderBytes, ErrorLog: h.panics.standardLog("admin"), ConnState: setConnState,
 	}
+	conns := newClientConns(port, connectionShare(h.platformSettings, adminDescriptorShare), platform.NewMemory(adminMemoryBytes),
+		func() int64 { return adminHeaderBytes }, h.clientLog)
+	listener = conns.on(listener)
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
