The port between hosts is bounded, and heads have the configured time

Cause: gRPC returns the window of a connection before a message is read, and allows messages of 32 MB on any number of streams, so clients at the port between hosts made a host hold 520 MB. Ruled out: a smaller message limit, which bounds no sum; a buffer pool that counts, since a buffer that is not returned would count for ever. Callers' heads had 10 s whatever header_timeout_ms says, and so had connections on which nothing was sent, which a caller may hold idle.

Change: connections of hosts are bounded by descriptors and memory. Bytes of messages are counted until they are complete, and calls at 16 KB each, against 0.15 of the memory; the connection that holds most is closed when that runs out. A host has at most 2,000 calls at a time, headers of 8 KB and 5 s for the handshake. Bodies handed over are in the callers' account; without memory the call is declined. Heads have header_timeout_ms from their first byte, and connections on which nothing was sent idle_timeout_ms; net/http sets no deadline for each head any more.

--- a/edge/client_conn.go
+++ b/edge/client_conn.go
@@ -41,9 +41,14 @@
 	served   atomic.Bool
 	closed   atomic.Bool
 	evicted  atomic.Bool
+	// reserving is true while the connection waits for memory of others.
+	reserving atomic.Bool
 	// headRead is how many bytes of the current head were read, headHeld the memory
 	// reserved for it, body the bytes of the current body or answer.
 	headRead, headHeld, body atomic.Int64
+	// headSince is when the first byte of the current head was read, Unix time in
+	// nanoseconds.
+	headSince atomic.Int64
 }
 
 // Read implements net.Conn.
@@ -52,12 +57,16 @@
 	if n == 0 {
 		return n, err
 	}
-	c.progress.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	c.progress.Store(now)
 	switch clients.Phase(c.phase.Load()) {
 	case clients.Idle:
 		c.phase.Store(int32(clients.Head))
 		fallthrough
 	case clients.Head:
+		if c.headRead.Load() == 0 {
+			c.headSince.Store(now)
+		}
 		if status := c.reserveHead(p[:n]); status != "" {
 			return 0, c.refuse(status)
 		}
@@ -80,7 +89,10 @@
 		return headTooLarge
 	}
 	held := int64(len(p)*headByteFactor + bytes.Count(p, []byte{'\n'})*headFieldBytes)
-	if c.conns.memory.Reserve(held) != nil {
+	c.reserving.Store(true)
+	err := c.conns.memory.Reserve(held)
+	c.reserving.Store(false)
+	if err != nil {
 		return headNoMemory
 	}
 	c.headHeld.Add(held)
@@ -151,9 +163,13 @@
 	}
 }
 
-// evict closes the connection. A body that is being read is answered with status
-// 408, which states that the request has not run.
+// evict closes the connection, unless a request has begun to run on it. A body that
+// is being read is answered with status 408, which states that the request has not
+// run.
 func (c *clientConn) evict(answer bool) {
+	if clients.Phase(c.phase.Load()) == clients.Running {
+		return
+	}
 	c.evicted.Store(true)
 	if answer && clients.Phase(c.phase.Load()) == clients.Body {
 		if c.SetReadDeadline(time.Now()) == nil {
--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -132,14 +132,14 @@
 	return len(l.conns)
 }
 
-// snapshot returns the connections that are not being closed, and their states.
+// snapshot returns the connections that may be closed, and their states.
 func (l *clientConns) snapshot() ([]*clientConn, []clients.Client) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conns := make([]*clientConn, 0, len(l.conns))
 	states := make([]clients.Client, 0, len(l.conns))
 	for c := range l.conns {
-		if c.evicted.Load() {
+		if c.evicted.Load() || c.reserving.Load() {
 			continue
 		}
 		conns = append(conns, c)
@@ -190,13 +190,21 @@
 	l.log.count(cause, l.port, 1)
 }
 
-// closeStalled closes the connections on which a body or an answer makes no
-// progress for too long.
-func (l *clientConns) closeStalled(now time.Time, bodyTimeout time.Duration) {
+// closeStalled closes the connections whose head is not complete in time, whose
+// body or answer makes no progress, or that have not sent anything yet, for too long.
+func (l *clientConns) closeStalled(now time.Time, headerTimeout, idleTimeout time.Duration) {
 	conns, states := l.snapshot()
 	for i, s := range states {
-		silent := now.Sub(s.Progress)
-		if s.Phase == clients.Body && silent > bodyTimeout || s.Phase == clients.Answer && silent > answerStallTimeout {
+		silent, limit := now.Sub(s.Progress), idleTimeout
+		switch {
+		case s.Phase == clients.Running || s.Phase == clients.Idle:
+			continue // the core bounds the one, closeIdle the other
+		case s.Phase == clients.Answer:
+			limit = answerStallTimeout
+		case s.Phase == clients.Head && conns[i].headRead.Load() > 0:
+			silent, limit = now.Sub(time.Unix(0, conns[i].headSince.Load())), headerTimeout
+		}
+		if silent > limit {
 			conns[i].evict(true)
 			l.log.count("stalled", l.port, 1)
 		}
--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -52,6 +52,7 @@
 	memory         *platform.Memory
 	conns          *clientConns
 	panics         *panicHandler
+	headerTimeout  atomic.Int64 // nanoseconds
 	idleTimeout    atomic.Int64 // nanoseconds
 
 	mu    sync.Mutex
@@ -63,15 +64,15 @@
 	f := &frontend{tryEnqueue: tryEnqueue, metrics: m, memory: memory, panics: p, calls: map[core.CallID]*pendingRequest{}, idle: map[net.Conn]time.Time{}}
 	f.maxHeaderBytes.Store(fallbackHeaderBytes)
 	f.maxBodyBytes.Store(fallbackBodyBytes)
+	f.headerTimeout.Store(int64(fallbackHeaderTimeout))
 	f.idleTimeout.Store(int64(fallbackIdleTimeout))
 	f.conns = newClientConns("callers", maxConns, memory, f.maxHeaderBytes.Load, log)
 	f.server = &http.Server{
-		Handler:           http.HandlerFunc(f.serve),
-		ReadHeaderTimeout: fallbackHeaderTimeout,
-		MaxHeaderBytes:    maxParsedHeaderBytes,
-		ErrorLog:          p.standardLog("callers"),
-		ConnState:         f.connState,
-		ConnContext:       withClientConn,
+		Handler:        http.HandlerFunc(f.serve),
+		MaxHeaderBytes: maxParsedHeaderBytes,
+		ErrorLog:       p.standardLog("callers"),
+		ConnState:      f.connState,
+		ConnContext:    withClientConn,
 	}
 	return f
 }
@@ -84,6 +85,9 @@
 	if limits.MaxBodyBytes > 0 {
 		f.maxBodyBytes.Store(limits.MaxBodyBytes)
 	}
+	if limits.HeaderTimeout > 0 {
+		f.headerTimeout.Store(int64(limits.HeaderTimeout))
+	}
 	if limits.IdleTimeout > 0 {
 		f.idleTimeout.Store(int64(limits.IdleTimeout))
 	}
@@ -116,7 +120,7 @@
 		case now := <-ticker.C:
 			idleTimeout := time.Duration(f.idleTimeout.Load())
 			f.closeIdleBefore(now.Add(-idleTimeout))
-			f.conns.closeStalled(now, idleTimeout)
+			f.conns.closeStalled(now, time.Duration(f.headerTimeout.Load()), idleTimeout)
 		}
 	}
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -59,6 +59,7 @@
 	registry         *registry
 	suspects         *suspectWriter
 	peerServer       *grpc.Server // serves other hosts
+	peerConns        *peerConns
 	notes            *noteWriter
 	clientLog        *clientLog
 	ready            atomic.Bool
@@ -118,6 +119,7 @@
 	h.registry.onSilentHosts = func(report scatter.HostsSilent) { h.tryEnqueue(report) }
 	h.registry.onStoreReachable = func(e scatter.StoreReachable) { h.enqueue(e) }
 	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.log, h.panics)
+	h.peerConns = newPeerConns(platformSettings, h.clientLog)
 	h.peerServer = newPeerServer(h)
 	h.decision = &decisionLoop{core: h.newCore(), inbox: h.inbox, execute: h.execute, replaceCore: h.replaceCore}
 	for _, option := range options {
@@ -392,7 +394,7 @@
 	h.workers.Go(func() { h.frontend.closeIdle(ctx) })
 	h.workers.Go(func() { h.registry.run(ctx) })
 	h.workers.Go(func() { h.suspects.run(ctx) })
-	runServer(func() error { return h.peerServer.Serve(h.peerListener) })
+	runServer(func() error { return h.peerServer.Serve(h.peerConns.on(h.peerListener)) })
 	runServer(func() error { return h.frontend.run(h.callerListener) })
 	runServer(func() error {
 		return h.serveUntilClosed("readiness", h.readinessListener, http.HandlerFunc(h.serveReady))
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -111,6 +111,8 @@
 	set("store_calls", int64(h.objects.Calls()))
 	set("clients_connections", int64(h.frontend.conns.count()))
 	set("clients_memory_bytes", h.frontend.memory.Used())
+	set("hosts_connections", int64(h.peerConns.count()))
+	set("hosts_memory_bytes", h.peerConns.memory.Used())
 	for name, value := range map[string]uint64{
 		"requests": stats.Requests, "answered": stats.Answered, "gathered": stats.Gathered, "partial": stats.Partial,
 		"refused": stats.Refused, "failed": stats.Failed, "timed_out": stats.TimedOut, "no_route": stats.NoRoute, "unauthorized": stats.Unauthorized,
--- a/edge/panics_test.go
+++ b/edge/panics_test.go
@@ -123,7 +123,8 @@
 	broken.cursor.Advance(scatter.FeedUpdate{Reset: true, Revision: 1})
 	h := &Host{
 		metrics: m, panics: &panicHandler{log: zerolog.Nop(), count: m.panics},
-		registry: &registry{hubs: map[string]*hub{"broken": broken}},
+		registry:  &registry{hubs: map[string]*hub{"broken": broken}},
+		peerConns: newPeerConns(platform.HostSettings{MemoryBytes: 1 << 28, MaxDescriptors: 2870}, newClientLog(zerolog.Nop(), m.registry)),
 	}
 	listener, err := net.Listen("tcp", freeAddress(t))
 	if err != nil {
--- a/edge/service.go
+++ b/edge/service.go
@@ -31,7 +31,10 @@
 	server := grpc.NewServer(
 		grpc.UnaryInterceptor(h.panics.unaryInterceptor),
 		grpc.StreamInterceptor(h.panics.streamInterceptor),
-		grpc.MaxHeaderListSize(peerMaxHeaderBytes),
+		grpc.StatsHandler(h.peerConns),
+		grpc.MaxConcurrentStreams(peerMaxCalls),
+		grpc.ConnectionTimeout(peerHandshakeTimeout),
+		grpc.MaxHeaderListSize(peerMaxCallHeaderBytes),
 		grpc.MaxRecvMsgSize(peerMaxMessageBytes),
 		grpc.InitialWindowSize(peerWindowBytes),
 		grpc.InitialConnWindowSize(peerWindowBytes),
@@ -158,6 +161,12 @@
 	if s.host.stopping.Load() {
 		return declined, nil
 	}
+	if held := int64(len(r.Body)); held > 0 {
+		if s.host.frontend.memory.Reserve(held) != nil {
+			return declined, nil // another host may have memory for it
+		}
+		defer s.host.frontend.memory.Release(held)
+	}
 	request := decodeRun(r)
 	started := time.Now()
 	arrived := started.Add(-time.Duration(r.SpentUs) * time.Microsecond)
--- a/processtest/crowd/callers_test.go
+++ b/processtest/crowd/callers_test.go
@@ -3,8 +3,10 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -146,3 +148,20 @@
 	}
 	h.check()
 }
+
+// TestLargestRequest guards against a limit that refuses a request inside the
+// limits of the configuration while there is no other load.
+func TestLargestRequest(t *testing.T) {
+	h := start(t, maxFDs, 100)
+	request := head("POST", paths[0], 1) + shortFields(maxHeaderBytes-300) + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes) + strings.Repeat("b", maxBodyBytes)
+	h.crowd(1, h.callers, func(_ int, c net.Conn) {
+		for range 2 { // the second on the reused connection
+			send(c, request)
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err := expectOK(response, err); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	h.check()
+}
