A record that other hosts need is stored without waiting for the back-off

Cause: TestHostsLostByARestoreRegisterAgain failed once under the race detector: h4 had no record 1 s after the restore. Its own reads had been refused in the outage, so its registration waited for the host's back-off, which is up to the contact time while a stream brings the feeds.

Ruled out: a lost order to register (h4 had the list of the restored store).

Change: the first call for an urgent record (the host's own, when the list lacks it or it is outdated, and findings) does not wait; its repetition does, for 0.5 of the contact time at most. A registration that waits becomes urgent.

--- a/core/scatter/store_backoff.go
+++ b/core/scatter/store_backoff.go
@@ -12,7 +12,9 @@
 	Active bool
 	// Covered is true while the stream of another host brings all feeds it needs.
 	Covered bool
-	// Urgent is true for a record that other hosts need within the contact time.
+	// Urgent is true for a record that other hosts need within the contact time, such
+	// as one that a restored store has lost. Its first call does not wait: a host that
+	// the store serves has reported the loss, or the host has found something.
 	Urgent bool
 }
 
@@ -104,7 +106,7 @@
 // the last call of the same purpose was refused. Probe is true for a call that runs
 // alone; it has to be ended before others start.
 func (b *StoreBackoff) Begin(now time.Time, s StoreSituation, retry bool) (wait time.Duration, probe bool) {
-	if b.refusals == 0 && !b.unproven || b.refusals == 1 && !retry && !b.unproven {
+	if b.refusals == 0 && !b.unproven || b.refusals == 1 && !retry && !b.unproven || s.Urgent && !retry {
 		return 0, false
 	}
 	if b.probing {
--- a/core/scatter/store_calls_test.go
+++ b/core/scatter/store_calls_test.go
@@ -249,3 +249,30 @@
 		}
 	}
 }
+
+// TestUrgentRecordIsNotDelayedByRefusals guards against a host whose record a restored
+// store has lost, and which registers again too late since its own reads were refused
+// before: it was then up to date through another host only.
+func TestUrgentRecordIsNotDelayedByRefusals(t *testing.T) {
+	b, now := NewStoreBackoff(storeDayContact, func() float64 { return 1 }), time.Unix(1000, 0)
+	s := StoreSituation{Rank: 4, Hosts: 5, Active: true, Covered: true}
+	for range 5 {
+		wait, probe := b.Begin(now, s, true)
+		now = now.Add(wait)
+		if wait > 0 {
+			_, probe = b.Begin(now, s, true)
+		}
+		b.End(now.Add(time.Millisecond), now, probe, StoreRefused)
+		now = now.Add(time.Millisecond)
+	}
+	if wait, _ := b.Begin(now, s, false); wait < storeDayContact/2 {
+		t.Errorf("another call waits for %v: the test covers nothing", wait)
+	}
+	s.Urgent = true
+	if wait, _ := b.Begin(now, s, false); wait > 0 {
+		t.Errorf("an urgent call waits for %v", wait)
+	}
+	if wait, _ := b.Begin(now, s, true); wait <= 0 || wait > storeDayContact/2 {
+		t.Errorf("its repetition waits for %v", wait)
+	}
+}
--- a/edge/bootstrap.go
+++ b/edge/bootstrap.go
@@ -50,7 +50,7 @@
 // listOnce lists a feed from the store and applies the result.
 func (r *registry) listOnce(ctx context.Context, hub *hub, purpose platform.Purpose) error {
 	var update platform.Update
-	err, _ := r.gate.run(ctx, false, false, listTimeout, func(ctx context.Context) (err error) {
+	err, _ := r.gate.run(ctx, false, never, listTimeout, func(ctx context.Context) (err error) {
 		update, err = hub.feed.List(platform.WithPurpose(ctx, purpose))
 		return err
 	})
--- a/edge/registration.go
+++ b/edge/registration.go
@@ -27,13 +27,14 @@
 		return
 	}
 	defer r.registering.Store(false)
+	defer r.recordUrgent.Store(false)
 	for retry := false; ; retry = true {
 		self := r.self
 		self.Partitioned = r.partitioned.Load()
 		if r.hosts.contains(string(self.ID)) && platform.HostRegistered(r.hosts.object(string(self.ID)), self) {
 			return
 		}
-		err, made := r.gate.run(ctx, retry, false, listTimeout, func(ctx context.Context) error {
+		err, made := r.gate.run(ctx, retry, r.recordUrgent.Load, listTimeout, func(ctx context.Context) error {
 			return platform.RegisterHost(platform.WithPurpose(ctx, platform.PurposeRegister), r.objects, self)
 		})
 		if err == nil || !made {
@@ -56,7 +57,7 @@
 	r := w.registry
 	if r.recordOutdated.Load() && time.Since(w.lastUpdate) > recordUpdateInterval {
 		w.lastUpdate = time.Now()
-		w.tasks.Go(func() { r.register(ctx) })
+		w.registerAgain(ctx)
 	}
 	delay := reregisterDelay
 	if r.hostsRestored.Load() {
@@ -74,6 +75,13 @@
 		w.unlistedSince = time.Now()
 		r.hostsRestored.Store(false)
 		r.log.Warn().Str("event", "register_again").Msg("this host is missing from the list of hosts; registering again")
-		w.tasks.Go(func() { r.register(ctx) })
+		w.registerAgain(ctx)
 	}
 }
+
+// registerAgain stores this host's record, which other hosts need.
+func (w *registrySupervisor) registerAgain(ctx context.Context) {
+	w.registry.recordUrgent.Store(true)
+	w.registry.gate.wake() // a registration that waits becomes urgent
+	w.tasks.Go(func() { w.registry.register(ctx) })
+}
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -67,17 +67,19 @@
 // stream the updates to the others; a host that reaches none of them reads the
 // store itself.
 type registry struct {
-	objects     *platform.Objects
-	gate        *storeGate
-	registering atomic.Bool // while this host's record is being stored
-	peers       *peers
-	log         zerolog.Logger
-	panics      *panicHandler
-	self        scatter.Host
-	seeds       []string
-	contactTime time.Duration // see HostSettings.Contact
-	hubs        map[string]*hub
-	hosts       *hub
+	objects *platform.Objects
+	gate    *storeGate
+	// registering is true while this host's record is being stored, recordUrgent if
+	// the list lacks it or has an outdated one.
+	registering, recordUrgent atomic.Bool
+	peers                     *peers
+	log                       zerolog.Logger
+	panics                    *panicHandler
+	self                      scatter.Host
+	seeds                     []string
+	contactTime               time.Duration // see HostSettings.Contact
+	hubs                      map[string]*hub
+	hosts                     *hub
 	// firstStart is true when the whole tier starts for the first time.
 	firstStart bool
 	// hostsRestored is set when the list of hosts comes from a restored store, and
--- a/edge/store_gate.go
+++ b/edge/store_gate.go
@@ -32,12 +32,13 @@
 }
 
 // begin waits until a call may start; it returns false if ctx ends first. Retry is true
-// if the last call of this purpose was refused. OnWait, if set, is called if the call
+// if the last call of this purpose was refused, urgent whether it is so now (see
+// scatter.StoreSituation). OnWait, if set, is called if the call
 // has to wait, with whether that is because of a refused call.
-func (g *storeGate) begin(ctx context.Context, retry, urgent bool, onWait func(refused bool)) (storeCall, bool) {
+func (g *storeGate) begin(ctx context.Context, retry bool, urgent func() bool, onWait func(refused bool)) (storeCall, bool) {
 	for ctx.Err() == nil {
 		s := g.situation()
-		s.Urgent = urgent
+		s.Urgent = urgent()
 		now := time.Now()
 		g.mu.Lock()
 		wait, probe := g.backoff.Begin(now, s, retry)
@@ -75,8 +76,12 @@
 	g.wake()
 }
 
+// Urgencies of calls whose urgency does not change.
+func always() bool { return true }
+func never() bool  { return false }
+
 // run makes a call when the back-off allows it; it returns false if ctx ends first.
-func (g *storeGate) run(ctx context.Context, retry, urgent bool, timeout time.Duration, call func(context.Context) error) (err error, made bool) {
+func (g *storeGate) run(ctx context.Context, retry bool, urgent func() bool, timeout time.Duration, call func(context.Context) error) (err error, made bool) {
 	started, ok := g.begin(ctx, retry, urgent, nil)
 	if !ok {
 		return ctx.Err(), false
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -59,7 +59,7 @@
 	var at core.Position
 	listed := false
 	for {
-		call, ok := r.gate.begin(ctx, r.refused, false, r.held)
+		call, ok := r.gate.begin(ctx, r.refused, never, r.held)
 		if !ok {
 			return
 		}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -105,7 +105,7 @@
 	if report == nil {
 		return true
 	}
-	err, _ := w.gate.run(ctx, retry, true, suspectsTimeout, func(ctx context.Context) error {
+	err, _ := w.gate.run(ctx, retry, always, suspectsTimeout, func(ctx context.Context) error {
 		return w.record.Store(platform.WithPurpose(ctx, platform.PurposeSuspects), report.Suspects)
 	})
 	if err != nil {
