Decisions for the roll-out of a service's version

Cause: an order asks the tier to move a service to upstreams of another version, which may be bad. So far hosts send to all registered upstreams, whatever their version.

Change: core/scatter observes versions if RolloutLimits.Share is set. Types of their own: versionShare (the part of its own requests that one host may send to the new version; these add up to the share of the tier without messages, and only the slack is divided), rolloutCounts and judge (counts by route and version; a sequential test of failures and latency quantiles, in the whole time and in the last 1.5 and 4 s), rolloutView.decide (the next phase, by one host, effective once stored under the revision that it was derived from), versionPolicy (which versions get requests before, during and after an order). pick takes a predicate for upstreams instead of one for failure domains, so plain requests, parts, hedges, retries and queued sends all go through the same choice. The engine ignores versions if the share is 0, as it does everywhere until the settings are read.

The tests of core/scatter pass.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -27,6 +27,9 @@
 	Suspects *SuspectReport
 	// LimitEnds are to be sent to the other gatherers.
 	LimitEnds []LimitEnd
+	// RolloutWrites are to be stored, RolloutReports to be sent to other hosts.
+	RolloutWrites  []RolloutWrite
+	RolloutReports []RolloutReportTo
 }
 
 // Check is an upstream to which a connection is to be attempted, without a request.
@@ -62,6 +65,7 @@
 	a.Sends, a.Cancels, a.Answers, a.Notes = a.Sends[:0], a.Cancels[:0], a.Answers[:0], a.Notes[:0]
 	a.Silent, a.Suspects = nil, nil
 	a.Checks, a.LimitEnds = a.Checks[:0], a.LimitEnds[:0]
+	a.RolloutWrites, a.RolloutReports = a.RolloutWrites[:0], a.RolloutReports[:0]
 	a.Handovers, a.Probes, a.CancelledHandovers = a.Handovers[:0], a.Probes[:0], a.CancelledHandovers[:0]
 }
 
@@ -230,4 +234,6 @@
 	DecisionReconnected            Decision = "upstreams_reachable"
 	DecisionWithdraw               Decision = "callers_turned_away"
 	DecisionReturn                 Decision = "callers_taken_again"
+	DecisionRollout                Decision = "rollout"
+	DecisionRolloutHalted          Decision = "rollout_halted_here"
 )
--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -39,6 +39,7 @@
 	e.observeConnectivity(now, a, r.Outcome)
 	e.countLimitedSend(a)
 	e.recordNotice(now, a, r)
+	e.countEnd(now, a, r)
 	e.recordOutcome(now, a, r)
 	e.dispatchQueued(now, p.service)
 	if c.done {
@@ -338,7 +339,7 @@
 func (e *Engine) hedge(now time.Time, p *part) {
 	c := p.call
 	service := c.config.Services[p.service]
-	u, _ := e.directory.pick(now, pickConstraints{
+	u, _ := e.pickVersion(now, p, pickConstraints{
 		service:     Service{ID: p.service, ColdRate: service.ColdRate},
 		allowed:     e.regionFilter(c),
 		reachable:   e.reaches(now, c),
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -190,9 +190,9 @@
 	return "too few services have an upstream"
 }
 
-// regionFilter returns a predicate for the failure domains that a call may use.
-func (e *Engine) regionFilter(c *call) func(core.DomainID) bool {
-	return func(id core.DomainID) bool { return c.allowsRegion(e.options.Regions[id]) }
+// regionFilter returns a predicate for the upstreams whose region a call may use.
+func (e *Engine) regionFilter(c *call) func(*upstream) bool {
+	return func(u *upstream) bool { return c.allowsRegion(e.options.Regions[u.Domain]) }
 }
 
 // queueDeadline returns until when a part may wait for a free upstream. A request
@@ -251,7 +251,7 @@
 		return
 	}
 	service := c.config.Services[p.service]
-	u, busy := e.directory.pick(now, pickConstraints{
+	u, busy := e.pickVersion(now, p, pickConstraints{
 		service:      Service{ID: p.service, ColdRate: service.ColdRate},
 		allowed:      e.regionFilter(c),
 		reachable:    e.reaches(now, c),
@@ -292,7 +292,7 @@
 	p.sends++
 	p.waiting = false
 	e.attempts[a.id] = a
-	e.stats.Sends++
+	e.countSend(now, a)
 	e.domains.recordSend(now, u.Domain)
 	e.queue(p.service).attemptStarted()
 	send := Send{
--- a/core/scatter/designated.go
+++ b/core/scatter/designated.go
@@ -43,7 +43,7 @@
 func (e *Engine) designated(p *part) (chosen *upstream) {
 	var best uint64
 	for _, u := range e.directory.byService[p.service] {
-		if !e.directory.acceptsWork(u) || !p.call.allowsRegion(e.options.Regions[u.Domain]) {
+		if !e.directory.acceptsWork(u) || e.limitedVersion(u) || !p.call.allowsRegion(e.options.Regions[u.Domain]) {
 			continue
 		}
 		if hash := xxhash.Sum64String(p.call.request.RequestID + "\x00" + string(u.ID)); chosen == nil || hash < best {
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -121,6 +121,7 @@
 	// It sends nothing to cold upstreams then and until coldHoldUntil.
 	replaced      bool
 	coldHoldUntil time.Time
+	versionUse    func(*upstream) versionUse // nil if versions are ignored
 }
 
 // rankSettleTime is how long after a change of its record a host may assume that
@@ -330,8 +331,8 @@
 // pickConstraints restricts which upstream may be picked.
 type pickConstraints struct {
 	service Service
-	// allowed reports whether the route allows a failure domain.
-	allowed func(core.DomainID) bool
+	// allowed reports whether the route and the roll-out allow an upstream.
+	allowed func(*upstream) bool
 	// reachable reports whether the request may be sent to a failure domain now.
 	reachable func(core.DomainID) bool
 	// only is the one upstream that may be picked; nil allows any.
@@ -347,11 +348,6 @@
 	avoidStalled bool
 }
 
-// acceptsWork reports whether an upstream may be sent new requests.
-func (d *directory) acceptsWork(u *upstream) bool {
-	return !u.Draining && !u.leaving && !d.domainsOut[u.Domain]
-}
-
 // pick returns the upstream of a service with the lowest cost for a new request,
 // or nil. Busy is true if an eligible upstream is at its limit.
 //
@@ -362,7 +358,7 @@
 	bestCost := math.Inf(1)
 	busyNotStalled, stalled := false, false
 	for _, u := range d.byService[l.service.ID] {
-		if !d.acceptsWork(u) || !l.allowed(u.Domain) || slices.Contains(l.tried, u) {
+		if !d.acceptsWork(u) || !l.allowed(u) || slices.Contains(l.tried, u) {
 			continue
 		}
 		if now.Before(u.withheldUntil) {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -29,6 +29,7 @@
 	FirstStart bool
 	// Revocation bounds how long unconfirmed keys are accepted.
 	Revocation Revocation
+	Rollout    RolloutLimits
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -67,6 +68,7 @@
 	unservedShare float64
 	withdrawn     bool
 	splits        map[*Route]*weightedRoundRobin
+	rollouts      *rollouts // nil if versions are ignored
 	out           *Actions
 	stats         Stats
 }
@@ -160,13 +162,15 @@
 	via    *peer
 	extra  bool
 	notRun bool // whether it surely did not run; set when the attempt ends
+	// rollout is how the attempt counts in a roll-out; nil if there is none.
+	rollout *rolloutSend
 	// cancelled is true if this host ended the attempt, whose outcome says nothing then.
 	cancelled bool
 }
 
 // New returns an Engine without a configuration.
 func New(options Options) *Engine {
-	return &Engine{
+	e := &Engine{
 		options:    options,
 		directory:  newDirectory(options.Self, options.Domain, options.AssumedHosts),
 		fleet:      newFleet(options.Self, options.Domain),
@@ -182,6 +186,8 @@
 
 		connectivity: connectivity{failing: map[*upstream]time.Time{}},
 	}
+	e.useRollouts(newRollouts(options.Rollout))
+	return e
 }
 
 // Successor returns an engine that replaces this one after an unexpected error.
@@ -193,6 +199,7 @@
 	next.budgets = e.budgets
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.forSuccessor()
+	next.useRollouts(e.rollouts.forSuccessor())
 	next.stats = e.stats
 	return next
 }
@@ -255,6 +262,7 @@
 		fire(now)
 	}
 	e.handle(now, event)
+	e.refreshVersions(event)
 }
 
 func (e *Engine) handle(now time.Time, event Event) {
@@ -311,6 +319,8 @@
 		e.stopBy(event.Until)
 	case LimitEnded:
 		e.handleLimitEnd(now, event.LimitEnd)
+	case RolloutsSeen, RolloutRecordsSeen, RolloutStored, RolloutReported, RolloutReportTaken:
+		e.handleRollout(now, event)
 	case Tick:
 	}
 }
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -231,6 +231,8 @@
 	Domain  core.DomainID
 	// Address is "ip:port".
 	Address string
+	// Version is the version of the upstream's software.
+	Version string
 	// Slots is how many requests the upstream runs concurrently.
 	Slots int
 	// Draining upstreams receive no new requests.
