--- a/core/scatter/rollout.go
+++ b/core/scatter/rollout.go
@@ -127,11 +127,11 @@
 }
 
 // supersedes reports whether a record may replace a known one. The store may be restored
-// from an older copy, and reports arrive late: a roll-out never returns to an earlier
-// phase, and its end is never changed.
+// from an older copy, and updates arrive late: a roll-out never returns to an earlier
+// phase, its end is never changed, and no earlier one takes its place.
 func (r RolloutRecord) supersedes(known RolloutRecord) bool {
 	if r.RolloutKey != known.RolloutKey {
-		return true
+		return r.Started.After(known.Started)
 	}
 	return !known.Phase.Final() && r.Phase >= known.Phase
 }
@@ -153,6 +153,12 @@
 	State RolloutState
 }
 
+// FailedBy returns the result of a write that failed, perhaps since the store did not answer.
+func (r RolloutStored) FailedBy(unreachable bool) RolloutStored {
+	r.Failed, r.Unreachable = true, unreachable
+	return r
+}
+
 // RolloutReported carries the counts of another host.
 type RolloutReported struct{ RolloutReport }
 
--- a/core/scatter/rollout_counts.go
+++ b/core/scatter/rollout_counts.go
@@ -126,11 +126,13 @@
 
 func newRolloutCounts() *rolloutCounts { return &rolloutCounts{reports: map[hostStart]hostReport{}} }
 
-// record replaces the counts of a host. Counts of other orders are ignored.
+// record replaces the counts of a host. Counts of other orders are ignored. Reports name an
+// order without its target: counts of an earlier one in the same entry are replaced by the
+// host's next report.
 func (r *rolloutCounts) record(now time.Time, key RolloutKey, report RolloutReport) {
 	counts := map[versionRoute]VersionCounts{}
 	for _, c := range report.Counts {
-		if c.Key == key && len(counts) < 2*maxRolloutRoutes {
+		if c.Key.Service == key.Service && c.Key.Created == key.Created && len(counts) < 2*maxRolloutRoutes {
 			counts[versionRoute{c.Version, c.Route}] = c
 		}
 	}
--- a/core/scatter/rollout_engine.go
+++ b/core/scatter/rollout_engine.go
@@ -81,7 +81,7 @@
 	}
 	if a.to.Version == s.counting.Target {
 		s.share.expose()
-		e.rollouts.sends++
+		e.rollouts.stats.Sends++
 	}
 	a.rollout = send
 }
@@ -203,9 +203,7 @@
 func (e *Engine) adoptRecord(now time.Time, record RolloutRecord) {
 	s := e.rollouts.service(record.Service)
 	if !record.supersedes(s.record) && s.record.Revision > 0 {
-		if record.RolloutKey == s.record.RolloutKey {
-			s.record.Revision = record.Revision // of the object that the next write replaces
-		}
+		s.record.Revision = record.Revision // of the object that the next write replaces
 		return
 	}
 	before := s.record
@@ -221,9 +219,9 @@
 	}
 	switch record.Phase {
 	case RolloutDone:
-		e.rollouts.done++
+		e.rollouts.stats.Completed++
 	case RolloutBack:
-		e.rollouts.reverted++
+		e.rollouts.stats.Reverted++
 	}
 	e.note(Note{
 		Decision: DecisionRollout, Service: record.Service, Version: e.Version(), Age: now.Sub(record.Started),
@@ -350,7 +348,7 @@
 		s.local.record(now, s.counting, report)
 		if v := judge(now, s.local, s.counting, s.policy.base); v.bad {
 			s.policy.halted = true
-			e.rollouts.halts++
+			e.rollouts.stats.Halted++
 			e.note(Note{
 				Decision: DecisionRolloutHalted, Service: id, Version: e.Version(),
 				Detail: fmt.Sprintf("%s: %s (confidence %.4f)", s.counting.Target, v.reason, v.confidence()),
--- a/core/scatter/rollout_state.go
+++ b/core/scatter/rollout_state.go
@@ -32,8 +32,26 @@
 	// declined holds the hosts that take no reports, and when they are asked again.
 	declined map[core.HostID]time.Time
 	ticking  bool
-	// counters
-	sends, reverted, done, halts uint64
+	stats    RolloutStats
+}
+
+// RolloutStats counts since the start: sends to new versions, roll-outs seen to be completed
+// and reverted, and versions that this host stopped using before a decision. Running is the
+// number of roll-outs now.
+type RolloutStats struct{ Sends, Completed, Reverted, Halted, Running uint64 }
+
+// RolloutStats returns the counters of roll-outs.
+func (e *Engine) RolloutStats() RolloutStats {
+	if e.rollouts == nil {
+		return RolloutStats{}
+	}
+	stats := e.rollouts.stats
+	for _, s := range e.rollouts.services {
+		if _, active := s.key(); active {
+			stats.Running++
+		}
+	}
+	return stats
 }
 
 // serviceRollout is the state of the roll-outs of one service.
--- a/standin/platformstub/store.go
+++ b/standin/platformstub/store.go
@@ -126,6 +126,7 @@
 	if create {
 		o.Meta.Created = s.revision
 	}
+	o.Status = old.Status // a write of the spec leaves it
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = map[string]platform.StoredObject{}
 	}
@@ -134,6 +135,24 @@
 	return o, written
 }
 
+// putStatus replaces the status of an object, whose revision must be the stated one.
+func (s *store) putStatus(kind, name string, o platform.StoredObject) (platform.StoredObject, outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, found := s.kinds[kind][name]
+	switch {
+	case !found:
+		return stored, missing
+	case o.Meta.Revision != stored.Meta.Revision:
+		return stored, conflict
+	}
+	s.revision++
+	stored.Status, stored.Meta.Revision = o.Status, s.revision
+	s.kinds[kind][name] = stored
+	s.appendHistory(kind, platform.Change{Object: stored})
+	return stored, written
+}
+
 func (s *store) remove(kind, name string, revision uint64) (platform.StoredObject, outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/platformstub/stub.go
+++ b/standin/platformstub/stub.go
@@ -101,6 +101,7 @@
 	s.mux.HandleFunc("GET /objects/{kind}/{name}", s.get)
 	s.mux.HandleFunc("POST /objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) { s.write(w, r, true) })
 	s.mux.HandleFunc("PUT /objects/{kind}/{name}", func(w http.ResponseWriter, r *http.Request) { s.write(w, r, false) })
+	s.mux.HandleFunc("PUT /objects/{kind}/{name}/status", s.writeStatus)
 	s.mux.HandleFunc("DELETE /objects/{kind}/{name}", s.remove)
 	s.mux.HandleFunc("PUT "+HostsPath, s.setHosts)
 	s.mux.HandleFunc("POST /faults", s.setFaults)
@@ -316,6 +317,22 @@
 	s.writeOutcome(w, stored, result)
 }
 
+func (s *Stub) writeStatus(w http.ResponseWriter, r *http.Request) {
+	var o platform.StoredObject
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxObjectBytes)).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.applyFaults(w, r, callPut) {
+		return
+	}
+	stored, result := s.store.putStatus(r.PathValue("kind"), r.PathValue("name"), o)
+	s.writeOutcome(w, stored, result)
+}
+
+// Get returns an object without a call; false if there is none.
+func (s *Stub) Get(kind, name string) (platform.StoredObject, bool) { return s.store.get(kind, name) }
+
 func (s *Stub) remove(w http.ResponseWriter, r *http.Request) {
 	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
 	if err != nil && r.URL.Query().Has("revision") {
