Hosts carry out roll-outs

Cause: the decisions and feeds of roll-outs were not connected to a running host.

Change: hosts whose settings have a canary share read the two feeds, store decisions, and report their counts to the first gatherer by the call ReportRollout. The feeds do not count for whether a host is cut off from the store. Metrics rollout_sends, rollouts_running, rollouts_completed, rollouts_reverted and rollouts_halted.

--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphirebeam/samphirebeam/core/scatter"
 	"github.com/samphirebeam/samphirebeam/platform"
 	"github.com/samphirebeam/samphirebeam/standin/platformstub"
 	"github.com/samphirebeam/samphirebeam/standin/serverstub"
@@ -38,6 +39,9 @@
 	teams []map[string]any
 	// idleTimeout is the configured idle timeout of callers' connections.
 	idleTimeout time.Duration
+	// versions are the versions of servers; v1 if there is none.
+	versions map[string]string
+	rollout  scatter.RolloutLimits
 	// prepareHost, if set, changes a host before it runs.
 	prepareHost func(*Host)
 }
@@ -81,8 +85,12 @@
 }
 
 func (cluster *testCluster) registerState(service, id, state string, born int) {
+	version := "v1"
+	if other, set := cluster.versions[id]; set {
+		version = other
+	}
 	err := cluster.store.Put("servers", id, map[string]any{
-		"service": service, "address": cluster.servers[id].Address(), "zone": cluster.domains[id], "version": "v1",
+		"service": service, "address": cluster.servers[id].Address(), "zone": cluster.domains[id], "version": version,
 		"max_concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": born,
 	})
 	if err != nil {
@@ -160,6 +168,7 @@
 		Host: "", Domain: "", IP: "127.0.0.1", Callers: freeAddress(cluster.t), Readiness: freeAddress(cluster.t), Control: freeAddress(cluster.t),
 		FirstStart: cluster.firstStart, Store: cluster.address, Cores: power, MemoryBytes: 1 << 28, StopWithin: 2 * time.Second, Contact: contactTime,
 		Seeds: seeds, RetryRatio: 0.2, RetryAllowance: 56, RetryWindow: 10 * time.Second,
+		Rollout: cluster.rollout,
 	}
 	platformSettings.Host, platformSettings.Domain = hostID(name), domainID(domain)
 	settings := DefaultSettings()
--- a/edge/host.go
+++ b/edge/host.go
@@ -93,7 +93,7 @@
 		platformSettings: platformSettings,
 		metrics:          newHostMetrics(),
 		inbox:            ring.New[input](inboxSize),
-		objects:          platform.NewObjects(platformSettings.Store, maxStoreConnections),
+		objects:          platform.NewObjects(platformSettings.Store, storeConnections(platformSettings.Rollout)),
 		peers:            newPeers(),
 		draining:         make(chan struct{}),
 		closingStreams:   make(chan struct{}),
@@ -111,7 +111,7 @@
 	})
 	h.frontend = newFrontend(h.tryEnqueue, h.metrics, memory, h.panics)
 	self := scatter.Host{ID: platformSettings.Host, Domain: platformSettings.Domain, Address: platformSettings.Control, Cores: platformSettings.Cores}
-	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, h.deliver)
+	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, platformSettings.Rollout.Enabled(), h.deliver)
 	h.registry.contactTime = platformSettings.Contact
 	h.registry.firstStart = platformSettings.FirstStart
 	h.registry.onHostSeen = func(id core.HostID) { h.tryEnqueue(scatter.HostAlive{ID: id}) }
@@ -145,6 +145,7 @@
 		AssumedHosts: h.settings.AssumedHosts,
 		FirstStart:   h.platformSettings.FirstStart,
 		Revocation:   h.platformSettings.Revocation,
+		Rollout:      h.platformSettings.Rollout,
 		Random:       rand.Float64,
 	})
 }
@@ -250,6 +251,12 @@
 	if actions.Suspects != nil {
 		h.suspects.submit(actions.Suspects)
 	}
+	for _, write := range actions.RolloutWrites {
+		h.storeRollout(write)
+	}
+	for _, report := range actions.RolloutReports {
+		h.reportRollout(report)
+	}
 	for _, end := range actions.LimitEnds {
 		h.reportLimitEnd(end)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -96,7 +96,11 @@
 	var stats scatter.Stats
 	var running int
 	var version uint64
-	if !h.decision.query(func(e *scatter.Engine) { stats, running, version = e.Stats(), e.Running(), e.Version() }) {
+	var rollouts scatter.RolloutStats
+	if !h.decision.query(func(e *scatter.Engine) {
+		stats, running, version = e.Stats(), e.Running(), e.Version()
+		rollouts = e.RolloutStats()
+	}) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -118,6 +122,8 @@
 		"limited_sends": stats.LimitedSends, "limited_relayed": stats.LimitedRelayed, "limited_extra": stats.LimitedExtra,
 		"attempts_failed_direct": stats.DirectFailures, "attempts_failed_relayed": stats.RelayedFailures,
 		"partitions": stats.Partitions, "upstreams_limited": stats.Limited, "limit_refused": stats.LimitRefused,
+		"rollout_sends": rollouts.Sends, "rollouts_completed": rollouts.Completed, "rollouts_reverted": rollouts.Reverted,
+		"rollouts_halted": rollouts.Halted, "rollouts_running": rollouts.Running,
 	} {
 		set(name, int64(value))
 	}
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -83,6 +83,11 @@
 	contactTime time.Duration // see HostSettings.Contact
 	hubs        map[string]*hub
 	hosts       *hub
+	// required is the number of feeds without which this host counts as cut off.
+	required int
+	// readingRollouts is true while a task reads the feeds of roll-outs from the store, since
+	// a followed host does not have them.
+	readingRollouts atomic.Bool
 	// firstStart is true when the whole tier starts for the first time.
 	firstStart bool
 	// hostsRestored is set when the list of hosts comes from a restored store, and
@@ -113,7 +118,7 @@
 	started       time.Time
 }
 
-func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, panics *panicHandler, self scatter.Host, seeds []string, deliver func(platform.EventBatch)) *registry {
+func newRegistry(objects *platform.Objects, p *peers, log zerolog.Logger, panics *panicHandler, self scatter.Host, seeds []string, withRollouts bool, deliver func(platform.EventBatch)) *registry {
 	r := &registry{objects: objects, peers: p, log: log, panics: panics, self: self, seeds: seeds, hubs: map[string]*hub{}, silentHosts: newSilentHosts(), followers: newFollowers(), started: time.Now()}
 	logAndDeliver := func(batch platform.EventBatch) {
 		for _, problem := range batch.Problems {
@@ -121,12 +126,19 @@
 		}
 		deliver(batch)
 	}
-	for _, feed := range []*platform.Feed{
+	feeds := []*platform.Feed{
 		platform.ConfigFeed(objects), platform.UpstreamFeed(objects), platform.DomainFeed(objects), platform.HostFeed(objects),
 		platform.SuspectFeed(objects),
-	} {
+	}
+	r.required = len(feeds)
+	if withRollouts {
+		feeds = append(feeds, platform.RolloutFeed(objects), platform.RolloutRecordFeed(objects))
+	}
+	for at, feed := range feeds {
 		r.hubs[feed.Name] = newHub(feed, logAndDeliver)
-		r.hubs[feed.Name].onSourceChange = r.feedSourceChanged
+		if at < r.required {
+			r.hubs[feed.Name].onSourceChange = r.feedSourceChanged
+		}
 		r.hubs[feed.Name].onIgnored = func(u platform.Update, at core.Position) {
 			log.Info().Str("event", "update_ignored").Str("feed", feed.Name).Bool("whole", u.Reset).Int("changes", len(u.Changes)).
 				Uint64("era", u.Era).Uint64("revision", u.Revision).Uint64("known_era", at.Era).Uint64("known_revision", at.Revision).
@@ -268,7 +280,7 @@
 	r.followers.redeliver()
 	r.sourceMu.Lock()
 	defer r.sourceMu.Unlock()
-	r.onStoreReachable(scatter.StoreReachable{Reachable: r.feedsWithSource == len(r.hubs)})
+	r.onStoreReachable(scatter.StoreReachable{Reachable: r.feedsWithSource == r.required})
 }
 
 // feedSourceChanged counts the feeds that have a source, and reports when the
@@ -276,14 +288,14 @@
 func (r *registry) feedSourceChanged(up bool, gap scatter.SourceGap) {
 	r.sourceMu.Lock()
 	defer r.sourceMu.Unlock()
-	before := r.feedsWithSource == len(r.hubs)
+	before := r.feedsWithSource == r.required
 	if up {
 		r.feedsWithSource++
 		r.storeMayHaveFailed = r.storeMayHaveFailed || gap.StoreMayHaveFailed()
 	} else {
 		r.feedsWithSource--
 	}
-	after := r.feedsWithSource == len(r.hubs)
+	after := r.feedsWithSource == r.required
 	if before == after {
 		return
 	}
@@ -459,35 +471,6 @@
 	}
 }
 
-// keepStream keeps one stream open to one of the readers. When a stream ends it
-// tries the next reader; each slot starts with a different one.
-func (r *registry) keepStream(ctx context.Context, others []scatter.Host, slot, slots int, feeds []string) {
-	failures := 0
-	for at := slot; ctx.Err() == nil; at += slots {
-		reader := others[at%len(others)]
-		up := false
-		err := r.follow(ctx, reader, feeds, func(from scatter.RegistrySource) {
-			up, failures = true, 0
-			r.streamChanged(true, feeds, from)
-			r.log.Info().Str("event", "dependency_regained").Str("dependency", "reader").Str("reader", string(reader.ID)).
-				Dur("store_up_for", from.UpFor).Bool("store_failed", from.Failed).Msg("following")
-		})
-		if up {
-			r.streamChanged(false, feeds, scatter.RegistrySource{})
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if failures == 0 {
-			r.log.Warn().Str("event", "dependency_lost").Str("dependency", "reader").Str("reader", string(reader.ID)).AnErr("cause", err).Msg("the stream from a reader failed; trying the next one")
-		}
-		failures++
-		if failures%len(others) == 0 {
-			pause(ctx, followRetryDelay)
-		}
-	}
-}
-
 // startReaders starts to read all feeds from the store.
 func (w *registrySupervisor) startReaders(ctx context.Context) {
 	storeCtx, cancel := context.WithCancel(ctx)
