Roll-outs: a host that cannot store decisions gives way for longer

The host gave way for 2 s after a refused write, decided again before the next write was due, and each time took the counts away from its successor.

Change: it gives way for 10 s, doubling up to a minute; other gatherers keep the counts that they receive also when they decline. If all have given way, as in an outage of the store, the first by rank goes on trying.

--- a/core/scatter/rollout.go
+++ b/core/scatter/rollout.go
@@ -162,8 +162,8 @@
 // RolloutReported carries the counts of another host.
 type RolloutReported struct{ RolloutReport }
 
-// RolloutReportTaken tells whether a host has taken the counts of this one. It declines if
-// it cannot decide or cannot be reached.
+// RolloutReportTaken tells how a host answered the report of this one. It declines if it
+// cannot store decisions, or cannot be reached.
 type RolloutReportTaken struct {
 	By       core.HostID
 	Declined bool
--- a/core/scatter/rollout_engine.go
+++ b/core/scatter/rollout_engine.go
@@ -139,7 +139,10 @@
 			s.retryAt = now.Add(rolloutRetry)
 		}
 		if event.Unreachable {
-			r.declined[e.options.Self] = now.Add(declineTime)
+			r.declined[e.options.Self] = now.Add(min(maxStoreDeclineTime, storeDeclineTime<<min(r.storeFailures, 8)))
+			r.storeFailures++
+		} else {
+			r.storeFailures = 0
 		}
 		if event.Record.Revision > 0 {
 			e.adoptRecord(now, event.Record)
@@ -300,21 +303,25 @@
 	}
 }
 
-// rolloutDecider returns the host that decides: the first gatherer by rank that takes
-// reports. False if there is none.
+// rolloutDecider returns the host that decides: the first gatherer by rank that has not
+// declined, or the first one if all have, as in an outage of the store. False if there is none.
 func (e *Engine) rolloutDecider() (Host, bool) {
-	for _, h := range e.fleet.ranked[:e.fleet.gatherers()] {
+	gatherers := e.fleet.ranked[:e.fleet.gatherers()]
+	for _, h := range gatherers {
 		if _, declined := e.rollouts.declined[h.ID]; !declined {
 			return h, true
 		}
 	}
-	return Host{}, false
+	if len(gatherers) == 0 {
+		return Host{}, false
+	}
+	return gatherers[0], true
 }
 
-// TakesRolloutReports reports whether this host may decide on roll-outs. A gatherer takes
-// reports also while it believes that another host decides: the others may have found out
-// earlier that that one is gone.
-func (e *Engine) TakesRolloutReports() bool {
+// MayDecideRollouts reports whether this host may decide on roll-outs. A gatherer may, also
+// while it believes that another host decides: the others may have found out earlier that that
+// one is gone.
+func (e *Engine) MayDecideRollouts() bool {
 	if e.rollouts == nil || e.fleet.role != Gatherer {
 		return false
 	}
--- a/core/scatter/rollout_state.go
+++ b/core/scatter/rollout_state.go
@@ -17,9 +17,14 @@
 	withdrawnAfter = 2500 * time.Millisecond
 	// rolloutRetry is the wait after a decision that could not be stored.
 	rolloutRetry = time.Second
-	// declineTime is how long a host is not asked again after it did not take a report, or
-	// does not decide after it could not store its decision.
+	// declineTime is how long a host is not asked again after it declined a report.
 	declineTime = 2 * time.Second
+	// storeDeclineTime is how long a host does not decide after it could not store a
+	// decision. It doubles up to maxStoreDeclineTime. A store that refuses one host does so
+	// for long, and each attempt of that host delays a roll-out by a second or two. At 2 s,
+	// a roll-out missed its deadline, since the host decided again between two writes.
+	storeDeclineTime    = 10 * time.Second
+	maxStoreDeclineTime = time.Minute
 
 	reasonReplaced = "another order replaced this one"
 	reasonTwo      = "another order of the service was running"
@@ -32,8 +37,10 @@
 	services                    map[core.ServiceID]*serviceRollout
 	// declined holds the hosts that take no reports, and when they are asked again.
 	declined map[core.HostID]time.Time
-	ticking  bool
-	stats    RolloutStats
+	// storeFailures counts in a row the decisions that this host could not store.
+	storeFailures int
+	ticking       bool
+	stats         RolloutStats
 }
 
 // RolloutStats counts since the start: sends to new versions, roll-outs seen to be completed
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -90,14 +90,13 @@
 
 // ReportRollout implements edgepb.EdgeServer.
 func (s *peerService) ReportRollout(_ context.Context, r *edgepb.RolloutReport) (*edgepb.RolloutReportReply, error) {
-	takes := false
+	decides := false
 	if !s.host.stopping.Load() {
-		s.host.decision.query(func(e *scatter.Engine) { takes = e.TakesRolloutReports() })
+		s.host.decision.query(func(e *scatter.Engine) { decides = e.MayDecideRollouts() })
 	}
-	if takes {
-		takes = s.host.tryEnqueue(scatter.RolloutReported{RolloutReport: decodeRolloutReport(r)})
-	}
-	return &edgepb.RolloutReportReply{NotDeciding: !takes}, nil
+	// A host that declines may have to decide if all others decline too.
+	taken := s.host.tryEnqueue(scatter.RolloutReported{RolloutReport: decodeRolloutReport(r)})
+	return &edgepb.RolloutReportReply{NotDeciding: !decides || !taken}, nil
 }
 
 func encodeRolloutReport(report scatter.RolloutReport) *edgepb.RolloutReport {
