--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -262,7 +262,7 @@
 		fire(now)
 	}
 	e.handle(now, event)
-	e.refreshVersions(event)
+	e.refreshVersions(now, event)
 }
 
 func (e *Engine) handle(now time.Time, event Event) {
--- a/core/scatter/rollout_engine.go
+++ b/core/scatter/rollout_engine.go
@@ -233,35 +233,41 @@
 }
 
 // refreshVersions applies a change of the upstreams.
-func (e *Engine) refreshVersions(event Event) {
+func (e *Engine) refreshVersions(now time.Time, event Event) {
 	if e.rollouts == nil {
 		return
 	}
 	switch event := event.(type) {
 	case UpstreamsListed, UpstreamRemoved:
-		e.refreshAllVersions(time.Time{})
+		// Upstreams that are missing may be kept for the grace period.
+		e.refreshAllVersions(now)
+		e.timers.Add(now.Add(entryGrace+time.Millisecond), e.refreshAllVersions)
 	case UpstreamSeen:
-		e.refreshService(event.Upstream.Service)
+		e.refreshService(now, event.Upstream.Service)
 	}
 }
 
-func (e *Engine) refreshService(id core.ServiceID) {
+func (e *Engine) refreshService(now time.Time, id core.ServiceID) {
 	s := e.rollouts.service(id)
+	held := s.policy.held
 	upstreams, mixed := e.directory.versionsOf(id)
 	s.mixed = mixed
-	s.applyPolicy(e.rollouts.ordersListed && e.rollouts.recordsListed, upstreams)
+	s.applyPolicy(now, e.rollouts.ordersListed && e.rollouts.recordsListed, upstreams)
+	if s.policy.held && !held && len(upstreams) > 0 {
+		e.timers.Add(s.base.seenAt.Add(baseGoneAfter), e.refreshAllVersions)
+	}
 }
 
-// refreshAllVersions applies changes to all services. If now is set, queued parts are sent to
-// versions that have become open.
+// refreshAllVersions applies changes to all services. Queued parts are sent to versions that
+// have become open.
 func (e *Engine) refreshAllVersions(now time.Time) {
 	for id := range e.directory.byService {
 		e.rollouts.service(id)
 	}
 	for id, s := range e.rollouts.services {
 		before := s.policy
-		e.refreshService(id)
-		if before != s.policy && !now.IsZero() && e.queues[id] != nil {
+		e.refreshService(now, id)
+		if before != s.policy && e.queues[id] != nil {
 			e.dispatchQueued(now, id)
 		}
 	}
--- a/core/scatter/rollout_rig_test.go
+++ b/core/scatter/rollout_rig_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// baseGone is how long a version may be gone, with the time until it counts as removed.
+const baseGone = 13 * time.Second
+
+// bounce removes the upstreams of the old version for a time.
+func (r *rolloutTier) bounce(d time.Duration) {
+	old := r.served[:4]
+	for _, u := range old {
+		r.tell(scatter.UpstreamRemoved{ID: u.ID})
+	}
+	r.run(d)
+	for _, u := range old {
+		r.tell(scatter.UpstreamSeen{Upstream: u})
+	}
+}
+
 // start starts a host, which reads everything from the store.
 func (r *rolloutTier) start(i int) {
 	r.engines[i] = r.newEngine(i)
--- a/core/scatter/rollout_state.go
+++ b/core/scatter/rollout_state.go
@@ -70,6 +70,7 @@
 	// record is the last stored state; its Revision is 0 if none is known.
 	record RolloutRecord
 	policy versionPolicy
+	base   basePresence
 	mixed  bool
 	// counting is the order that share and own belong to.
 	counting RolloutKey
@@ -149,7 +150,7 @@
 
 // applyPolicy derives from the order, the record and the upstreams which versions get
 // requests.
-func (s *serviceRollout) applyPolicy(known bool, upstreams []Upstream) {
+func (s *serviceRollout) applyPolicy(now time.Time, known bool, upstreams []Upstream) {
 	p := versionPolicy{known: known, base: s.policy.base, halted: s.policy.halted}
 	if !s.policy.known {
 		p.base = "" // it was a guess
@@ -173,7 +174,12 @@
 			p.base, p.target = o.Target, ""
 		}
 	}
-	p.base = baseVersion(p.base, upstreams, p.target)
+	running := p.target != "" && p.target != p.base && !p.phase.Final()
+	if s.base.keeps(now, p.base, upstreams, running) {
+		p.held = true
+	} else {
+		p.base, p.held = baseVersion(p.base, upstreams, p.target), false
+	}
 	s.policy = p
 }
 
--- a/core/scatter/rollout_test.go
+++ b/core/scatter/rollout_test.go
@@ -174,6 +174,9 @@
 	for name, change := range map[string]func(*rolloutTier){
 		"none":           func(*rolloutTier) {},
 		"host restarted": func(r *rolloutTier) { r.start(0) },
+		"old ones restart": func(r *rolloutTier) {
+			r.bounce(5 * time.Second)
+		},
 		"orders not read": func(r *rolloutTier) {
 			for i := range r.engines {
 				r.engines[i] = r.newEngine(i)
@@ -215,6 +218,30 @@
 	}
 }
 
+// All upstreams of the old version crash during a roll-out, and the new one gets everything.
+func TestRolloutShareHoldsWithoutOldVersion(t *testing.T) {
+	r := newRolloutTier(t, 3, 300)
+	r.run(time.Second)
+	r.addUpstreams("v2", 4)
+	r.give(nil)
+	r.run(8 * time.Second)
+	r.bounce(6 * time.Second)
+	r.checkExposure()
+	r.run(20 * time.Second)
+	r.checkEnd(scatter.RolloutCompleted)
+	// Without an order, another version takes the place of one that is gone for good.
+	r.order, r.served = nil, r.served[4:]
+	r.addUpstreams("v3", 1)
+	r.oldSends = nil
+	r.tell(scatter.UpstreamsListed{Upstreams: r.served[len(r.served)-1:]})
+	r.run(baseGone + time.Second)
+	answered := len(r.newSends)
+	r.run(time.Second)
+	if len(r.newSends) == answered {
+		t.Error("the version that is left gets nothing")
+	}
+}
+
 // A second order in the place of one that runs moves traffic to a third version.
 func TestRolloutRefusesSecondOrder(t *testing.T) {
 	r := newRolloutTier(t, 3, 200)
--- a/core/scatter/rollout_versions.go
+++ b/core/scatter/rollout_versions.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
 )
@@ -31,6 +32,8 @@
 	phase  RolloutPhase
 	// halted is true if this host itself has found the target bad.
 	halted bool
+	// held is true while the version is kept although no upstream has it.
+	held bool
 }
 
 // use returns what may be sent to a version. mixed is true if upstreams of several versions
@@ -70,6 +73,30 @@
 	}
 }
 
+// baseGoneAfter is how long no upstream of a service's version must be registered until
+// another version takes its place without an order. Upstreams that restart register again
+// within 2 s, and their entries may have to expire first.
+const baseGoneAfter = 10 * time.Second
+
+// basePresence decides for how long a service keeps a version that no upstream has.
+//
+// It answers the crash of all upstreams of the old version: the new one must not get more than
+// its share for that reason.
+type basePresence struct {
+	version string
+	seenAt  time.Time
+}
+
+// keeps reports whether a version is kept that no upstream has. It is as long as a roll-out from
+// it runs.
+func (b *basePresence) keeps(now time.Time, version string, upstreams []Upstream, running bool) bool {
+	present := slices.ContainsFunc(upstreams, func(u Upstream) bool { return u.Version == version })
+	if present || version != b.version {
+		b.version, b.seenAt = version, now
+	}
+	return version != "" && !present && (running || now.Sub(b.seenAt) < baseGoneAfter)
+}
+
 // baseVersion returns the version that a service has, as far as no record tells: the known
 // one while an upstream of it is registered, otherwise that of the earliest start. All hosts
 // that see the same entries choose the same one. The target of an order is chosen only if
