Roll-outs: hedges and retries go to the old version

Change: only the first send of a part goes to the new version by its share; a hedge or retry goes there if no other upstream is left. After the switch there is a single choice, as one of the versions is barred.

--- a/core/scatter/rollout_engine.go
+++ b/core/scatter/rollout_engine.go
@@ -27,37 +27,35 @@
 	return e.rollouts != nil && e.directory.versionUse(u) == versionLimited
 }
 
-// pickVersion picks an upstream of the version that the next send of a part goes to. The new
-// version comes first while its share allows it; otherwise it is not considered.
+// pickVersion picks an upstream of the version that the next send of a part goes to. While the
+// new version has a share, the first send of a part goes there as far as the share allows. A
+// hedge or retry goes there only if no other upstream is left: if the version is bad, the
+// request would fail again.
 func (e *Engine) pickVersion(now time.Time, p *part, l pickConstraints) (*upstream, bool) {
 	if e.rollouts == nil {
 		return e.directory.pick(now, l)
 	}
 	s := e.rollouts.services[p.service]
-	if s == nil || s.share == nil {
+	if s == nil || s.share == nil || s.policy.phase >= RolloutSwitched {
+		return e.directory.pick(now, l) // versions are open or barred
+	}
+	pick := func(limited bool) (*upstream, bool) {
+		l := l
+		allowed := l.allowed
+		l.allowed = func(u *upstream) bool { return e.limitedVersion(u) == limited && allowed(u) }
 		return e.directory.pick(now, l)
 	}
-	allowed := l.allowed
-	limited := func(wanted bool) func(*upstream) bool {
-		return func(u *upstream) bool { return e.limitedVersion(u) == wanted && allowed(u) }
-	}
-	newBusy := false
-	var inBackoff *upstream
-	if s.share.allows(s.policy.phase) {
-		newer := l
-		newer.allowed = limited(true)
-		u, busy := e.directory.pick(now, newer)
-		if u != nil && !now.Before(u.backoffUntil) {
+	shared := s.share.allows(s.policy.phase)
+	if shared && p.sends == 0 {
+		if u, _ := pick(true); u != nil && !now.Before(u.backoffUntil) {
 			return u, false
 		}
-		inBackoff, newBusy = u, busy
 	}
-	l.allowed = limited(false)
-	u, busy := e.directory.pick(now, l)
-	if u == nil && !busy && inBackoff != nil {
-		return inBackoff, false
+	u, busy := pick(false)
+	if u == nil && !busy && shared {
+		return pick(true)
 	}
-	return u, busy || newBusy
+	return u, busy
 }
 
 // countSend counts an attempt that is started.
--- a/core/scatter/rollout_rig_test.go
+++ b/core/scatter/rollout_rig_test.go
@@ -36,6 +36,7 @@
 	bad func(route string, since time.Duration, running int) (fails, slow bool)
 
 	requests, exposed, badAnswers int
+	lost                          int            // requests without a good answer
 	running                       map[string]int // by version
 	ordered, fiftieth             time.Time
 	newSends, oldSends            []time.Time
@@ -167,6 +168,11 @@
 	for _, s := range out.Sends {
 		r.serve(i, s)
 	}
+	for _, a := range out.Answers {
+		if a.Kind != scatter.PassedOn || a.Payload == scatter.Failed {
+			r.lost++
+		}
+	}
 	for _, w := range out.RolloutWrites {
 		r.after(30*ms, func() { r.write(i, w) })
 	}
@@ -223,7 +229,7 @@
 			}
 		}
 	})
-	r.stepLater(i, latency, scatter.AttemptEnded{Attempt: s.Attempt, Outcome: outcome})
+	r.stepLater(i, latency, scatter.AttemptEnded{Attempt: s.Attempt, Outcome: outcome, Payload: outcome})
 }
 
 // write executes a decision as the store does.
--- a/core/scatter/rollout_share.go
+++ b/core/scatter/rollout_share.go
@@ -46,7 +46,7 @@
 	return s
 }
 
-// shareOf returns the share of requests that the new version gets in a phase.
+// shareOf returns the share of requests that the new version gets in a phase before the switch.
 func (s *versionShare) shareOf(phase RolloutPhase) float64 {
 	switch phase {
 	case RolloutFirst:
@@ -55,8 +55,6 @@
 		return secondShare * s.limits.Share
 	case RolloutProbe:
 		return max(s.limits.Share, probeShare)
-	case RolloutSwitched, RolloutDone:
-		return 1
 	default:
 		return 0
 	}
@@ -68,11 +66,8 @@
 	s.credit = min(maxShareCredit, s.credit+s.shareOf(phase))
 }
 
-// allows reports whether the next send may go to the new version.
+// allows reports whether the next send may go to the new version while that has a share.
 func (s *versionShare) allows(phase RolloutPhase) bool {
-	if phase >= RolloutSwitched {
-		return phase != RolloutBack
-	}
 	return s.shareOf(phase) > 0 && s.credit >= 1 && s.exposed+1 <= s.limits.Share*s.requests+s.slack
 }
 
--- a/core/scatter/rollout_test.go
+++ b/core/scatter/rollout_test.go
@@ -55,6 +55,9 @@
 			r.run(rolloutTime + 5*time.Second)
 			r.checkEnd(scatter.RolloutReverted)
 			r.checkExposure()
+			if r.lost > 3 {
+				t.Errorf("%d requests got no good answer", r.lost)
+			}
 			if slices.Contains(r.phases, scatter.RolloutSwitched) {
 				t.Errorf("phases %v", r.phases)
 			}
