Roll-outs: equal events give equal actions

Cause: services and routes were visited in the order of a map, so that a replay could differ from run to run. The counters of completed and reverted roll-outs also counted those that a host found in the store at its start.

Change: both are visited in a fixed order; a host counts the ends of roll-outs that it took part in.

Measured: the tests of core/scatter pass.

--- a/core/scatter/rollout_engine.go
+++ b/core/scatter/rollout_engine.go
@@ -218,11 +218,13 @@
 	if key, active := s.key(); active {
 		s.startCounting(e.rollouts.limits, key, s.counting == key)
 	}
-	switch record.Phase {
-	case RolloutDone:
-		e.rollouts.stats.Completed++
-	case RolloutBack:
-		e.rollouts.stats.Reverted++
+	if s.counting == record.RolloutKey {
+		switch record.Phase {
+		case RolloutDone:
+			e.rollouts.stats.Completed++
+		case RolloutBack:
+			e.rollouts.stats.Reverted++
+		}
 	}
 	e.note(Note{
 		Decision: DecisionRollout, Service: record.Service, Version: e.Version(), Age: now.Sub(record.Started),
@@ -262,7 +264,8 @@
 	for id := range e.directory.byService {
 		e.rollouts.service(id)
 	}
-	for id, s := range e.rollouts.services {
+	for _, id := range e.rollouts.sorted() {
+		s := e.rollouts.services[id]
 		before := s.policy
 		e.refreshService(now, id)
 		if before != s.policy && e.queues[id] != nil {
@@ -296,7 +299,8 @@
 	switch {
 	case !known:
 	case decider.ID == e.options.Self:
-		for id, s := range r.services {
+		for _, id := range r.sorted() {
+			s := r.services[id]
 			if s.tier != nil {
 				s.tier.record(now, s.counting, report)
 			}
@@ -352,7 +356,8 @@
 // haltBadVersions stops this host's sends to a version that it has itself found bad, whether
 // or not the decision can be stored.
 func (e *Engine) haltBadVersions(now time.Time, report RolloutReport) {
-	for id, s := range e.rollouts.services {
+	for _, id := range e.rollouts.sorted() {
+		s := e.rollouts.services[id]
 		if s.local == nil || s.policy.halted || s.policy.phase.Final() {
 			continue
 		}
--- a/core/scatter/rollout_judge.go
+++ b/core/scatter/rollout_judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -101,6 +102,7 @@
 			routes = append(routes, at.route)
 		}
 	}
+	slices.Sort(routes)
 	comparisons := float64(max(1, len(routes)) * (1 + len(judgedWindows)) * (1 + len(judgedQuantiles)))
 	for _, route := range routes {
 		newest, old := totals[versionRoute{key.Target, route}], totals[versionRoute{base, route}]
--- a/core/scatter/rollout_state.go
+++ b/core/scatter/rollout_state.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -120,6 +121,9 @@
 	return r
 }
 
+// sorted returns the services in a fixed order, so that equal events give equal actions.
+func (r *rollouts) sorted() []core.ServiceID { return slices.Sorted(maps.Keys(r.services)) }
+
 func (r *rollouts) service(id core.ServiceID) *serviceRollout {
 	s := r.services[id]
 	if s == nil {
@@ -213,7 +217,8 @@
 // report returns this host's counts of all orders that are being carried out.
 func (r *rollouts) report(self core.HostID, started int64) RolloutReport {
 	report := RolloutReport{Host: self, Started: started}
-	for _, s := range r.services {
+	for _, id := range r.sorted() {
+		s := r.services[id]
 		if _, active := s.key(); !active {
 			continue
 		}
