--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -30,6 +30,9 @@
 	// QuotaRequests are to be sent to other hosts, QuotaReplies answer theirs.
 	QuotaRequests []QuotaRequest
 	QuotaReplies  []QuotaReply
+	// RolloutWrites are to be stored, RolloutReports to be sent to other hosts.
+	RolloutWrites  []RolloutWrite
+	RolloutReports []RolloutReportTo
 }
 
 // Check is an upstream to which a connection is to be attempted, without a request.
@@ -68,6 +71,7 @@
 	clear(a.QuotaRequests)
 	clear(a.QuotaReplies)
 	a.QuotaRequests, a.QuotaReplies = a.QuotaRequests[:0], a.QuotaReplies[:0]
+	a.RolloutWrites, a.RolloutReports = a.RolloutWrites[:0], a.RolloutReports[:0]
 	a.Handovers, a.Probes, a.CancelledHandovers = a.Handovers[:0], a.Probes[:0], a.CancelledHandovers[:0]
 }
 
@@ -240,4 +244,6 @@
 	DecisionOverQuota              Decision = "over_quota"
 	DecisionQuotaOwnerSkipped      Decision = "quota_owner_skipped"
 	DecisionQuotaOwnerBack         Decision = "quota_owner_back"
+	DecisionRollout                Decision = "rollout"
+	DecisionRolloutHalted          Decision = "rollout_halted_here"
 )
--- a/core/scatter/capacity_replay_test.go
+++ b/core/scatter/capacity_replay_test.go
@@ -213,7 +213,7 @@
 	best, least := -1, math.Inf(1)
 	if rule.oracle == 0 {
 		always := func(core.DomainID) bool { return true }
-		u, _ := h.directory.pick(now, pickConstraints{service: Service{ID: "s"}, allowed: always, reachable: always, connections: shares, tried: others(tried), mayTry: tried == nil, avoidStalled: tried == nil && l.workMax < 20*time.Millisecond})
+		u, _ := h.directory.pick(now, pickConstraints{service: Service{ID: "s"}, allowed: func(*upstream) bool { return true }, reachable: always, connections: shares, tried: others(tried), mayTry: tried == nil, avoidStalled: tried == nil && l.workMax < 20*time.Millisecond})
 		return slices.Index(h.directory.byService["s"], u)
 	}
 	for i, u := range h.directory.byService["s"] {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -32,7 +32,8 @@
 	// LearnCapacity bounds and places requests by the learned capacity of upstreams.
 	LearnCapacity bool
 	// Quota bounds the requests beyond the quotas of teams.
-	Quota QuotaLimits
+	Quota   QuotaLimits
+	Rollout RolloutLimits
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -73,41 +74,11 @@
 	withdrawn     bool
 	splits        map[*Route]*weightedRoundRobin
 	quotas        *quotas
+	rollouts      *rollouts // nil if versions are ignored
 	out           *Actions
 	stats         Stats
 }
 
-// Stats counts decisions since the start.
-type Stats struct {
-	Requests, Answered, Gathered, Refused, Failed, TimedOut, NoRoute         uint64
-	Sends, Relayed, Hedges, Retries, ExtraDenied, Late, Partial, CallersGone uint64
-	// Accused counts upstreams that may have crashed because of a request,
-	// Quarantined the fingerprints put in quarantine, and QuarantineRefused the
-	// requests refused because their fingerprint is in quarantine.
-	Accused, Quarantined, QuarantineRefused uint64
-	// LimitedSends counts the sends to upstreams that state a rate limit;
-	// LimitedRelayed and LimitedExtra are those of them that went through a relay
-	// and the hedges and retries.
-	LimitedSends, LimitedRelayed, LimitedExtra uint64
-	// Limited counts how often an upstream began to state a rate limit.
-	Limited uint64
-	// LimitRefused counts the requests refused because of stated rate limits.
-	LimitRefused uint64
-	// DirectFailures counts the attempts of open calls that failed on the way from
-	// this host to the upstream or there, RelayedFailures those sent through a relay.
-	DirectFailures, RelayedFailures uint64
-	// Unauthorized counts the requests without a valid key.
-	Unauthorized uint64
-	// Partitions counts how often this host lost its connections to the upstreams.
-	Partitions uint64
-	Capacity   CapacityStats
-	// QuotaAsked, QuotaGranted and QuotaDenied count the tokens that were requested,
-	// received and not received for requests of teams with a limit, OverQuota the
-	// requests refused, and QuotaFallbacks how often a host was skipped that grants
-	// tokens.
-	QuotaAsked, QuotaGranted, QuotaDenied, OverQuota, QuotaFallbacks uint64
-}
-
 // timerFunc is called when a timer is due.
 type timerFunc func(now time.Time)
 
@@ -177,6 +148,8 @@
 	via    *peer
 	extra  bool
 	notRun bool // whether it surely did not run; set when the attempt ends
+	// rollout is how the attempt counts in a roll-out; nil if there is none.
+	rollout *rolloutSend
 	// cancelled is true if this host ended the attempt, whose outcome says nothing then.
 	cancelled bool
 }
@@ -201,6 +174,7 @@
 	}
 	e.directory.learnsCapacity = options.LearnCapacity
 	e.quotas = e.newQuotas()
+	e.useRollouts(newRollouts(options.Rollout))
 	return e
 }
 
@@ -214,6 +188,7 @@
 	next.directory.notices = e.directory.notices
 	next.quarantine = e.quarantine.forSuccessor()
 	next.quotas.ledger, next.quotas.number = e.quotas.ledger, e.quotas.number
+	next.useRollouts(e.rollouts.forSuccessor())
 	next.stats = e.stats
 	next.directory.capacityStats = e.directory.capacityStats
 	return next
@@ -281,6 +256,7 @@
 		fire(now)
 	}
 	e.handle(now, event)
+	e.refreshVersions(now, event)
 }
 
 func (e *Engine) handle(now time.Time, event Event) {
@@ -341,6 +317,8 @@
 		e.quotas.granted(now, event)
 	case QuotaAsked:
 		e.answerQuota(now, event)
+	case RolloutsSeen, RolloutRecordsSeen, RolloutStored, RolloutReported, RolloutReportTaken:
+		e.handleRollout(now, event)
 	case Tick:
 	}
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -87,7 +87,7 @@
 		platformSettings: platformSettings,
 		metrics:          newHostMetrics(),
 		inbox:            ring.New[input](inboxSize),
-		objects:          platform.NewObjects(platformSettings.Store, maxStoreConnections),
+		objects:          platform.NewObjects(platformSettings.Store, storeConnections(platformSettings.Rollout)),
 		peers:            newPeers(),
 		draining:         make(chan struct{}),
 		closingStreams:   make(chan struct{}),
@@ -107,7 +107,7 @@
 	})
 	h.frontend = newFrontend(h.tryEnqueue, h.metrics, memory, callerConns, h.clientLog, h.panics)
 	self := scatter.Host{ID: platformSettings.Host, Domain: platformSettings.Domain, Address: platformSettings.Control, Cores: platformSettings.Cores}
-	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, platformSettings.Contact, h.deliver)
+	h.registry = newRegistry(h.objects, h.peers, h.log, h.panics, self, platformSettings.Seeds, platformSettings.Contact, platformSettings.Rollout.Enabled(), h.deliver)
 	h.registry.firstStart = platformSettings.FirstStart
 	h.registry.onHostSeen = func(id core.HostID) { h.tryEnqueue(scatter.HostAlive{ID: id}) }
 	h.registry.followers.onChange = func(followed bool) { h.enqueue(scatter.Followed{ByOthers: followed}) }
@@ -142,6 +142,7 @@
 		FirstStart:    h.platformSettings.FirstStart,
 		Revocation:    h.platformSettings.Revocation,
 		Quota:         h.platformSettings.Quota,
+		Rollout:       h.platformSettings.Rollout,
 		LearnCapacity: h.settings.UpstreamCapacity == CapacityLearned,
 		Random:        rand.Float64,
 	})
@@ -248,6 +249,12 @@
 	if actions.Suspects != nil {
 		h.suspects.submit(actions.Suspects)
 	}
+	for _, write := range actions.RolloutWrites {
+		h.storeRollout(write)
+	}
+	for _, report := range actions.RolloutReports {
+		h.reportRollout(report)
+	}
 	for _, end := range actions.LimitEnds {
 		h.reportLimitEnd(end)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -96,7 +96,11 @@
 	var stats scatter.Stats
 	var running int
 	var version uint64
-	if !h.decision.query(func(e *scatter.Engine) { stats, running, version = e.Stats(), e.Running(), e.Version() }) {
+	var rollouts scatter.RolloutStats
+	if !h.decision.query(func(e *scatter.Engine) {
+		stats, running, version = e.Stats(), e.Running(), e.Version()
+		rollouts = e.RolloutStats()
+	}) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -129,6 +133,8 @@
 		"capacity_hedges_withheld": stats.Capacity.HedgesWithheld,
 		"quota_asked":              stats.QuotaAsked, "quota_granted": stats.QuotaGranted, "quota_denied": stats.QuotaDenied,
 		"over_quota": stats.OverQuota, "quota_fallbacks": stats.QuotaFallbacks,
+		"rollout_sends": rollouts.Sends, "rollouts_completed": rollouts.Completed, "rollouts_reverted": rollouts.Reverted,
+		"rollouts_halted": rollouts.Halted, "rollouts_running": rollouts.Running,
 	} {
 		set(name, int64(value))
 	}
