--- a/edge/keep_stream.go
+++ b/edge/keep_stream.go
@@ -67,8 +67,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for _, name := range []string{platform.RolloutFeedName, platform.RolloutRecordFeedName} {
-		reader := &storeReader{hub: r.hubs[name], contactTime: r.contactTime, log: r.log, panics: r.panics}
-		go reader.run(ctx)
+		go r.newStoreReader(r.hubs[name]).run(ctx)
 	}
 	return follow(ctx, known)
 }
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -446,7 +446,7 @@
 	storeCtx, cancel := context.WithCancel(ctx)
 	w.stopReaders = cancel
 	for _, hub := range w.registry.hubs {
-		reader := &storeReader{hub: hub, gate: w.registry.gate, contactTime: w.registry.contactTime, log: w.registry.log, panics: w.registry.panics}
+		reader := w.registry.newStoreReader(hub)
 		w.tasks.Go(func() { reader.run(storeCtx) })
 	}
 }
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -40,7 +40,7 @@
 		stored.Record.Revision = 0
 		defer func() { h.enqueue(stored) }()
 		defer h.panics.recoverPanic("rollout", "", nil)
-		ctx, cancel := context.WithTimeout(context.Background(), rolloutStoreTimeout)
+		ctx, cancel := context.WithTimeout(platform.WithPurpose(context.Background(), platform.PurposeRollout), rolloutStoreTimeout)
 		defer cancel()
 		result, err := platform.StoreRollout(ctx, h.objects, write)
 		stored = result
--- a/edge/store_reader.go
+++ b/edge/store_reader.go
@@ -53,6 +53,10 @@
 	failures int
 }
 
+func (r *registry) newStoreReader(h *hub) *storeReader {
+	return &storeReader{hub: h, gate: r.gate, contactTime: r.contactTime, log: r.log, panics: r.panics}
+}
+
 // run reads the feed until ctx ends.
 func (r *storeReader) run(ctx context.Context) {
 	defer r.hub.setStoreUp(false, false)
