Roll-outs: a replay of gathers

Cause: the replays of the share sent plain requests only.

Change: the replay of the third phase runs gathers too, against upstreams that pause, so that their parts are hedged.

--- a/core/scatter/rollout_rig_test.go
+++ b/core/scatter/rollout_rig_test.go
@@ -31,6 +31,7 @@
 	lag    map[int]time.Duration
 	served []scatter.Upstream
 	calls  core.CallID
+	paths  []string
 	rate   float64 // requests per second
 	// bad returns how an answer of the new version deviates.
 	bad func(route string, since time.Duration, running int) (fails, slow bool)
@@ -52,7 +53,7 @@
 const rolloutTime = 30 * time.Second
 
 func newRolloutTier(t *testing.T, hosts int, rate float64) *rolloutTier {
-	r := &rolloutTier{t: t, now: epoch, random: rand.New(rand.NewPCG(1, 2)), rate: rate, cut: map[int]bool{}, running: map[string]int{}, revision: 100, refused: -1}
+	r := &rolloutTier{t: t, now: epoch, random: rand.New(rand.NewPCG(1, 2)), rate: rate, cut: map[int]bool{}, running: map[string]int{}, revision: 100, refused: -1, paths: []string{"/a", "/b"}}
 	for i := range hosts {
 		r.hosts = append(r.hosts, scatter.Host{ID: core.HostID(fmt.Sprintf("host-%d", i)), Domain: "d1", Cores: 1})
 	}
@@ -114,7 +115,12 @@
 			Targets: []scatter.Target{{Service: "s", Weight: 1}},
 		})
 	}
-	config := scatter.NewConfig(1, routes, map[core.ServiceID]scatter.Service{"s": {ID: "s", Connections: 200}}, scatter.CallerLimits{})
+	routes = append(routes, &scatter.Route{
+		Name: "/g", Host: "h", Prefix: "/g", Repeatable: true, Timeout: time.Second, Target: 200 * ms, MaxUpstreams: 2,
+		Shards: []core.ServiceID{"s", "t"}, MinCoverage: 1,
+	})
+	services := map[core.ServiceID]scatter.Service{"s": {ID: "s", Connections: 200}, "t": {ID: "t", Connections: 200}}
+	config := scatter.NewConfig(1, routes, services, scatter.CallerLimits{})
 	return []scatter.Event{
 		scatter.ConfigSeen{Config: config},
 		scatter.UpstreamsListed{Upstreams: slices.Clone(r.served)},
@@ -169,7 +175,7 @@
 		r.serve(i, s)
 	}
 	for _, a := range out.Answers {
-		if a.Kind != scatter.PassedOn || a.Payload == scatter.Failed {
+		if a.Kind != scatter.PassedOn && a.Kind != scatter.Gathered || a.Payload == scatter.Failed {
 			r.lost++
 		}
 	}
@@ -190,6 +196,10 @@
 
 func (r *rolloutTier) serve(i int, s scatter.Send) {
 	version, outcome := s.Target.Version, scatter.Succeeded
+	if s.Target.Service == "t" {
+		r.stepLater(i, 5*ms, scatter.AttemptEnded{Attempt: s.Attempt, Outcome: outcome, Payload: outcome})
+		return
+	}
 	latency := 8*ms + time.Duration(r.random.ExpFloat64()*float64(4*ms))
 	r.running[version]++
 	if version == "v1" {
@@ -305,7 +315,7 @@
 			slices.Sort(up)
 			r.requests++
 			r.step(up[r.random.IntN(len(up))], scatter.RequestArrived{
-				Call: r.calls, At: r.now, Host: "h", Path: []string{"/a", "/b"}[r.calls%2], RequestID: fmt.Sprint(r.calls),
+				Call: r.calls, At: r.now, Host: "h", Path: r.paths[int(r.calls)%len(r.paths)], RequestID: fmt.Sprint(r.calls),
 			})
 		}
 	}
--- a/core/scatter/rollout_test.go
+++ b/core/scatter/rollout_test.go
@@ -89,15 +89,26 @@
 	}
 }
 
-// The slack of each host is that of the tier.
+// The slack of each host is that of the tier, or parts of gathers and their hedges do not count.
 func TestRolloutShareHoldsInProbe(t *testing.T) {
-	r := newRolloutTier(t, 12, 60)
-	r.run(time.Second)
-	r.addUpstreams("v2", 4)
-	r.give(nil)
-	for r.now.Before(r.ordered.Add(20 * time.Second)) {
-		r.run(500 * ms)
-		r.checkExposure()
+	for _, rate := range []float64{60, 400} {
+		r := newRolloutTier(t, 12, rate)
+		if rate > 100 {
+			r.paths, r.uneven = []string{"/g"}, true
+			u := r.served[0]
+			u.ID, u.Service = "t-0", "t"
+			r.tell(scatter.UpstreamSeen{Upstream: u})
+		}
+		r.run(time.Second)
+		r.addUpstreams("v2", 4)
+		r.give(nil)
+		for r.now.Before(r.ordered.Add(20 * time.Second)) {
+			r.run(500 * ms)
+			r.checkExposure()
+		}
+		if r.exposed == 0 || r.lost > r.requests/50 {
+			t.Errorf("rate %g: %d of %d requests went to the new version, %d got no answer", rate, r.exposed, r.requests, r.lost)
+		}
 	}
 }
 
