Small messages between hosts and answers that hosts do not read are counted

Cause: on machines of 184 and 284 MB, 100 clients that sent empty messages without reading the answers made a host hold 173 and 221 MB, close to its memory at 184 MB. gRPC queues each DATA frame and each answer in a few hundred bytes, whatever its size, so bytes on the wire say too little.

Change: the DATA frames that a connection sends are counted and cost 512 bytes each until their message is complete. Messages that a host has not accepted are counted with 512 bytes each against 0.05 of the memory; when that is full, connections that accept nothing for 250 ms are closed, those with most first. Hosts that read may exceed it: when many hosts start, all request the state of the feeds at once.

TestAccountOfHostsDoesNotDrift replays 150 gathers through relays; without the allowances for frames it fails with 51,448 bytes that stay pending.

--- a/edge/peer_conn.go
+++ b/edge/peer_conn.go
@@ -23,6 +23,13 @@
 	// and incomplete messages of other hosts; connections may take peerConnShare of it.
 	peerMemoryShare = 0.15
 	peerConnShare   = 0.75
+	// peerSentShare is the share of the machine's memory for messages that other hosts
+	// have not accepted yet. Hosts that read may exceed it, as when many hosts start
+	// and all request the state of the feeds.
+	peerSentShare = 0.05
+	// peerStallTime is how long a host may accept nothing before it may be closed for
+	// that. The buffers of the system hold what a host gets in an ordinary pause.
+	peerStallTime = 250 * time.Millisecond
 	// peerConnBytes is the memory of a connection: a buffer of 32 KB while it is read,
 	// and its goroutines.
 	peerConnBytes = 44 << 10
@@ -42,16 +49,27 @@
 	callFrameBytes     = 512
 	intervalFrameBytes = 4 << 10
 	frameInterval      = 10 * time.Second
+	// dataFrameBytes is the memory of a DATA frame in the queue of a call besides its
+	// bytes. Hosts send a message in frames of dataFrameSize or more, and may begin
+	// one with a smaller frame.
+	dataFrameBytes = 512
+	dataFrameSize  = 8 << 10
+	// sentMessageBytes is the memory of a message in the queue of a connection besides
+	// its bytes. A byte that was written returns writtenByteCredit of it: a message
+	// has at least 14 bytes on the wire.
+	sentMessageBytes  = 512
+	writtenByteCredit = sentMessageBytes/14 + 1
 )
 
 // peerConns bounds what connections to the port between hosts hold: it counts the
-// bytes of messages until they are complete, and the calls. When either runs out,
+// memory of messages until they are complete or sent, and the calls. When it runs out,
 // the connection that holds the most is closed. It exists for loads of clients that
 // stop in the middle of large messages or open calls without end.
 type peerConns struct {
 	net.Listener
 	limit    int
-	memory   *platform.Memory
+	memory   *platform.Memory // connections, calls and received messages
+	sent     *platform.Memory // messages that are not accepted yet
 	log      *clientLog
 	evicting sync.Mutex
 
@@ -65,7 +83,10 @@
 	conns    *peerConns
 	raw      syscall.RawConn
 	progress atomic.Int64 // when bytes were last received, Unix time in nanoseconds
-	pending  atomic.Int64 // bytes received of messages that are not complete
+	accepted atomic.Int64 // when bytes were last accepted
+	pending  atomic.Int64 // memory of messages that are not complete
+	unsent   atomic.Int64 // memory of messages that the other host has not accepted
+	frames   frameCounter // of the bytes that were received; only the reader uses it
 	calls    atomic.Int64
 	served   atomic.Bool // a call was received
 	forgiven atomic.Int64
@@ -76,9 +97,10 @@
 	memory := int64(peerMemoryShare * float64(s.MemoryBytes))
 	p := &peerConns{
 		limit:  max(minConnections, min(connectionShare(s, peerDescriptorShare), int(peerConnShare*float64(memory)/peerConnBytes))),
-		memory: platform.NewMemory(memory), log: log, conns: map[string]*peerConn{},
+		memory: platform.NewMemory(memory), sent: platform.NewMemory(int64(peerSentShare * float64(s.MemoryBytes))),
+		log: log, conns: map[string]*peerConn{},
 	}
-	p.memory.MakeRoom = p.makeRoom
+	p.memory.MakeRoom, p.sent.MakeRoom = p.makeRoom, p.makeSentRoom
 	return p
 }
 
@@ -120,9 +142,10 @@
 	if err != nil {
 		return nil // the client has closed it already
 	}
-	c := &peerConn{Conn: raw, conns: p, raw: control}
+	c := &peerConn{Conn: raw, conns: p, raw: control, frames: newFrameCounter()}
 	now := time.Now().UnixNano()
 	c.progress.Store(now)
+	c.accepted.Store(now)
 	c.forgiven.Store(now)
 	p.memory.Charge(peerConnBytes)
 	p.mu.Lock()
@@ -193,10 +216,26 @@
 	return len(chosen) > 0
 }
 
+// makeSentRoom closes the connections that accept nothing and have most to accept.
+func (p *peerConns) makeSentRoom(bytes int64) bool {
+	p.evicting.Lock()
+	defer p.evicting.Unlock()
+	conns, states := p.snapshot()
+	for i, c := range conns {
+		states[i] = clients.Client{Phase: clients.Answer, Progress: time.Unix(0, c.accepted.Load()), Bytes: c.unsent.Load()}
+	}
+	chosen := clients.Eviction{StallTime: peerStallTime}.ForMemory(time.Now(), states, bytes)
+	for _, at := range chosen {
+		_ = conns[at].Close()
+	}
+	p.log.count("unread", "hosts", len(chosen))
+	return len(chosen) > 0
+}
+
 // Read implements net.Conn.
 func (c *peerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.receive(n) {
+	if n > 0 && !c.receive(b[:n]) {
 		return 0, io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -223,7 +262,7 @@
 		err = errors.Join(err, readErr)
 	case n == 0:
 		err = io.EOF
-	case !c.receive(n):
+	case !c.receive((*buffer)[:n]):
 		err = io.ErrUnexpectedEOF
 	default:
 		return buffer, n, nil
@@ -236,30 +275,57 @@
 
 // receive counts bytes that were received. If there is no memory for them, it
 // closes the connection and returns false.
-func (c *peerConn) receive(n int) bool {
+func (c *peerConn) receive(b []byte) bool {
+	held := int64(len(b) + dataFrameBytes*c.frames.count(b))
 	now := time.Now().UnixNano()
 	c.progress.Store(now)
 	if last := c.forgiven.Load(); now-last > int64(frameInterval) && c.forgiven.CompareAndSwap(last, now) {
 		c.complete(intervalFrameBytes)
 	}
-	if c.conns.memory.Reserve(int64(n)) != nil {
+	if c.conns.memory.Reserve(held) != nil {
 		_ = c.Close()
 		return false
 	}
-	c.pending.Add(int64(n))
+	c.pending.Add(held)
 	if c.closed.Load() {
 		c.complete(c.pending.Load()) // closed since the reservation
 	}
 	return true
 }
 
-// complete returns up to n bytes that were received of messages.
-func (c *peerConn) complete(n int64) {
+// Write implements net.Conn.
+func (c *peerConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.accepted.Store(time.Now().UnixNano())
+	release(c.conns.sent, &c.unsent, int64(n)*(1+writtenByteCredit))
+	return n, err
+}
+
+// send counts a message that was queued.
+func (c *peerConn) send(size int) {
+	held := int64(size + sentMessageBytes)
+	if c.conns.sent.Reserve(held) != nil {
+		c.conns.sent.Charge(held) // all others accept what they get
+	}
+	c.unsent.Add(held)
+	if c.closed.Load() {
+		release(c.conns.sent, &c.unsent, held) // closed since the reservation
+	}
+}
+
+// complete returns up to n bytes of messages that were received.
+func (c *peerConn) complete(n int64) { release(c.conns.memory, &c.pending, n) }
+
+// release returns up to n bytes of an amount.
+func release(memory *platform.Memory, amount *atomic.Int64, n int64) {
 	for {
-		pending := c.pending.Load()
-		released := min(n, pending)
-		if c.pending.CompareAndSwap(pending, pending-released) {
-			c.conns.memory.Release(released)
+		held := amount.Load()
+		released := min(n, held)
+		if released == 0 {
+			return
+		}
+		if amount.CompareAndSwap(held, held-released) {
+			memory.Release(released)
 			return
 		}
 	}
@@ -278,6 +344,7 @@
 	err := c.Conn.Close()
 	c.conns.memory.Release(peerConnBytes)
 	c.complete(c.pending.Load())
+	release(c.conns.sent, &c.unsent, c.unsent.Load())
 	return err
 }
 
@@ -312,7 +379,9 @@
 			_ = c.Close()
 		}
 	case *stats.InPayload:
-		c.complete(int64(event.WireLength) + messageFrameBytes)
+		c.complete(int64(event.WireLength + messageFrameBytes + dataFrameBytes*(2+event.WireLength/dataFrameSize)))
+	case *stats.OutPayload:
+		c.send(event.WireLength)
 	case *stats.End:
 		p.memory.Release(peerCallBytes)
 		if c.calls.Add(-1) == 0 {
