A connection gives way or runs a request, never both

The phase changes by compare-and-swap, and giving way is final; a request that does not get to run is answered 408. Answers are written in chunks of 32 KB, each of which is progress.

--- a/edge/client_conn.go
+++ b/edge/client_conn.go
@@ -27,6 +27,9 @@
 	// reset would discard. At most lingerBytes of what it still sends are read.
 	refusalLinger = 50 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// writeChunkBytes is how much of an answer a client has to accept to make progress. A
+	// slow client that reads steadily must not count as one that does not read.
+	writeChunkBytes = 32 << 10
 )
 
 // clientConn is a connection of a client. It reserves the memory of heads before
@@ -40,7 +43,6 @@
 	progress atomic.Int64 // when bytes were last received or accepted, Unix time in nanoseconds
 	served   atomic.Bool
 	closed   atomic.Bool
-	evicted  atomic.Bool
 	// reserving is true while the connection waits for memory of others.
 	reserving atomic.Bool
 	// headRead is how many bytes of the current head were read, headHeld the memory
@@ -61,7 +63,9 @@
 	c.progress.Store(now)
 	switch clients.Phase(c.phase.Load()) {
 	case clients.Idle:
-		c.phase.Store(int32(clients.Head))
+		if !c.setPhase(clients.Head) {
+			return 0, io.EOF
+		}
 		fallthrough
 	case clients.Head:
 		if c.headRead.Load() == 0 {
@@ -118,9 +122,14 @@
 
 // Write implements net.Conn.
 func (c *clientConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.progress.Store(time.Now().UnixNano())
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeChunkBytes)])
+		c.progress.Store(time.Now().UnixNano())
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // Close implements net.Conn.
@@ -133,9 +142,21 @@
 	return err
 }
 
-// setPhase sets what the connection waits for.
-func (c *clientConn) setPhase(phase clients.Phase) {
-	c.phase.Store(int32(phase))
+// evictedPhase is the phase of a connection that gives way. It is final, so that a request
+// begins to run or the connection is closed, never both.
+const evictedPhase = -1
+
+// setPhase sets what the connection waits for; it returns false if the connection gives way.
+func (c *clientConn) setPhase(phase clients.Phase) bool {
+	for {
+		before := c.phase.Load()
+		if before == evictedPhase {
+			return false
+		}
+		if c.phase.CompareAndSwap(before, int32(phase)) {
+			break
+		}
+	}
 	switch phase {
 	case clients.Body:
 		c.body.Store(0)
@@ -147,6 +168,7 @@
 		c.headRead.Store(0)
 		c.releaseHead()
 	}
+	return true
 }
 
 // releaseHead returns the memory of a head that is no longer held.
@@ -167,14 +189,13 @@
 // is being read is answered with status 408, which states that the request has not
 // run.
 func (c *clientConn) evict(answer bool) {
-	if clients.Phase(c.phase.Load()) == clients.Running {
+	before := c.phase.Load()
+	if before == int32(clients.Running) || before == evictedPhase || !c.phase.CompareAndSwap(before, evictedPhase) {
 		return
 	}
-	c.evicted.Store(true)
-	if answer && clients.Phase(c.phase.Load()) == clients.Body {
-		if c.SetReadDeadline(time.Now()) == nil {
-			return
-		}
+	// The request's own read deadline may replace this one; the connection ends then.
+	if answer && before == int32(clients.Body) && c.SetReadDeadline(time.Now()) == nil {
+		return
 	}
 	_ = c.Close()
 }
--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -139,7 +139,7 @@
 	conns := make([]*clientConn, 0, len(l.conns))
 	states := make([]clients.Client, 0, len(l.conns))
 	for c := range l.conns {
-		if c.evicted.Load() || c.reserving.Load() {
+		if c.phase.Load() == evictedPhase || c.reserving.Load() {
 			continue
 		}
 		conns = append(conns, c)
@@ -245,11 +245,13 @@
 	return context.WithValue(ctx, clientConnKey{}, c)
 }
 
-// setClientPhase sets what the connection of a request waits for.
-func setClientPhase(ctx context.Context, phase clients.Phase) {
+// setClientPhase sets what the connection of a request waits for; it returns false if the
+// connection gives way.
+func setClientPhase(ctx context.Context, phase clients.Phase) bool {
 	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok {
-		c.setPhase(phase)
+		return c.setPhase(phase)
 	}
+	return true
 }
 
 // holdAnswer charges the account with an answer that the client has yet to read.
--- a/edge/client_conns_test.go
+++ b/edge/client_conns_test.go
@@ -136,3 +136,21 @@
 	}
 	eventually(t, func() error { return expect(conns.count() == 2, "the running and the idle connection are left") })
 }
+
+// TestConnectionGivesWayOrRuns guards against a connection that is closed after its request
+// began to run, and a request that begins to run on a connection that gives way.
+func TestConnectionGivesWayOrRuns(t *testing.T) {
+	for range 200 {
+		near, far := net.Pipe()
+		l := newClientConns("test", 8, platform.NewMemory(1<<20), func() int64 { return 1 << 10 }, newClientLog(zerolog.Nop(), metrics.NewRegistry()))
+		c := &clientConn{Conn: near, conns: l}
+		c.setPhase(clients.Body)
+		ran := make(chan bool)
+		go func() { ran <- c.setPhase(clients.Running) }()
+		c.evict(false)
+		if running := <-ran; running == c.closed.Load() {
+			t.Fatalf("runs: %v, closed: %v", running, c.closed.Load())
+		}
+		_, _ = near.Close(), far.Close()
+	}
+}
--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/clients"
 	"github.com/samphirebeam/samphirebeam/core/scatter"
@@ -38,6 +40,9 @@
 	cancelHandovers []context.CancelFunc
 }
 
+// errGivesWay is the cause of a request that is refused since its connection gives way.
+var errGivesWay = eris.New("the connection gives way to others")
+
 // frontend serves the HTTP requests of callers.
 type frontend struct {
 	tryEnqueue func(scatter.Event) bool
@@ -158,7 +163,11 @@
 		return
 	}
 	defer request.Release()
-	setClientPhase(r.Context(), clients.Running)
+	if !setClientPhase(r.Context(), clients.Running) {
+		platform.WriteReadError(w, &platform.ReadError{Status: http.StatusRequestTimeout, Cause: errGivesWay})
+		f.metrics.unreadRequests.Inc(1)
+		return
+	}
 	started := time.Now()
 	submitted = true
 	answer, callerGone := f.submit(r.Context(), request, scatter.RequestArrived{At: started})
