Requests over quota raise no budget of extra sends

Cause: a request was counted for the budgets of retries and hedges before its quota was checked, so load far beyond a quota raised them. A refused gather also counted as one that the queues served in time, which opens their admission.

Change: a request of a team with a limit counts once it has a token, and a refusal over quota says nothing about queues.

Measured: 200 refused requests leave the budget at 0; before the change they counted.

--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -77,10 +77,8 @@
 		e.refuse(now, c, "this host stops before the request is expected to end")
 		return
 	}
-	if !a.Repeat { // the first host has already counted a repeat
-		for _, p := range c.parts {
-			e.budget(p.service).requests.add(now)
-		}
+	if !c.limited() {
+		e.countAccepted(now, c)
 	}
 	if _, quarantined := e.quarantine.until(now, a.Fingerprint); quarantined {
 		e.stats.QuarantineRefused++
@@ -106,16 +104,6 @@
 	e.claimQuota(now, c)
 }
 
-// startCall sends the parts of a call.
-func (e *Engine) startCall(now time.Time, c *call) {
-	if c.route.IsGather() && e.quarantine.needsProbe(c.request.Fingerprint) {
-		e.startProbe(now, c)
-	} else {
-		e.sendAll(now, c)
-	}
-	e.tryComplete(now, c)
-}
-
 // newCall creates the call of a request, with one part for each service that
 // contributes to the answer.
 func (e *Engine) newCall(a RequestArrived, route *Route, team *Team) *call {
--- a/core/scatter/quota_engine.go
+++ b/core/scatter/quota_engine.go
@@ -48,10 +48,34 @@
 	e.timers.Add(now.Add(quotaTick), e.tickQuotas)
 }
 
+// limited reports whether a call counts against a quota.
+func (c *call) limited() bool { return c.team != nil && c.team.Quota.Limited() }
+
+// countAccepted counts a request for the budgets of extra sends. One of a team with a limit
+// counts once it has a token: load beyond a quota must not raise the budgets.
+func (e *Engine) countAccepted(now time.Time, c *call) {
+	if c.request.Repeat {
+		return // the first host has already counted it
+	}
+	for _, p := range c.parts {
+		e.budget(p.service).requests.add(now)
+	}
+}
+
+// startCall sends the parts of a call.
+func (e *Engine) startCall(now time.Time, c *call) {
+	if c.route.IsGather() && e.quarantine.needsProbe(c.request.Fingerprint) {
+		e.startProbe(now, c)
+	} else {
+		e.sendAll(now, c)
+	}
+	e.tryComplete(now, c)
+}
+
 // claimQuota starts a call once its team has a token. The call waits meanwhile, and ends
 // as any other if its caller leaves or its deadline passes.
 func (e *Engine) claimQuota(now time.Time, c *call) {
-	if c.team == nil || !c.team.Quota.Limited() {
+	if !c.limited() {
 		e.startCall(now, c)
 		return
 	}
@@ -76,6 +100,7 @@
 			c.quota.taken = true
 			t.local.take(1)
 			e.stats.QuotaGranted++
+			e.countAccepted(now, c)
 			e.startCall(now, c)
 		}
 	}
@@ -100,6 +125,7 @@
 // refuseOverQuota ends a call that is beyond the quota of its team.
 func (e *Engine) refuseOverQuota(now time.Time, c *call, wait time.Duration) {
 	e.stats.QuotaDenied++
+	c.queued = false // its end says nothing about queues
 	kind := OverQuota
 	if c.request.Repeat {
 		kind = Declined // the request may have run at another host
--- a/core/scatter/quota_test.go
+++ b/core/scatter/quota_test.go
@@ -185,6 +185,9 @@
 	for range 200 {
 		r.want(r.askAs(goldKey, "/team/"), scatter.OverQuota)
 	}
+	if got := r.engine.AcceptedRequests("files", r.now); got != 0 {
+		t.Errorf("the budget of extra sends counts %d requests", got)
+	}
 	if got := r.engine.UnservedShare(); got != 0 {
 		t.Errorf("the unserved share is %.2f", got)
 	}
