--- a/core/scatter/quota_engine.go
+++ b/core/scatter/quota_engine.go
@@ -88,6 +88,10 @@
 	claim := &quotaClaim{wanted: 1}
 	claim.settle = func(now time.Time, got int, wait time.Duration) {
 		c.quota.claim = nil
+		if c.done { // ended by another claim that was settled before
+			e.quotas.giveBack(now, t, got)
+			return
+		}
 		switch {
 		case got == 0 && !e.quotas.canDecide(now, t):
 			e.refuse(now, c, "no gatherer that decides on quotas can be reached")
