--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			event = "rollout_not_stored"
 		}
-		line.Str("event", event).Str("service", string(write.Record.Service)).Str("target_version", write.Record.Target).
+		line.Str("event", event).Str("service", string(write.Record.Service)).Str("to_version", write.Record.Target).
 			Str("phase", write.Record.Phase.String()).Str("state", string(result.State)).Str("reason", write.Record.Reason).
 			Float64("confidence", write.Record.Confidence).Msg("decision on a roll-out")
 	}()
--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -262,23 +262,6 @@
 	return s.runs[requestID], s.bodies[requestID]
 }
 
-// Run is one run of a request.
-type Run struct {
-	At     time.Time
-	Header http.Header
-}
-
-// AllRuns returns the runs of all requests, by request ID.
-func (s *Server) AllRuns() map[string][]Run {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := make(map[string][]Run, len(s.received))
-	for id, runs := range s.received {
-		all[id] = slices.Clone(runs)
-	}
-	return all
-}
-
 // Arrived returns the number of requests received, including those that were
 // shed. Requests that were refused under the Early fault are not counted.
 func (s *Server) Arrived() int {
