--- a/core/scatter/quota_partition_test.go
+++ b/core/scatter/quota_partition_test.go
@@ -14,7 +14,7 @@
 func TestQuotaWithOutdatedListOfGatherers(t *testing.T) {
 	s := newQuotaTier(t, load(0, 100, 50, 600, ""))
 	from := s.now
-	cut := s.owner("team-0").Domain
+	cut := s.owner().Domain
 	s.cut(cut, 1)
 	others := hostsOutside(s, cut)
 	for _, h := range s.gatherers {
--- a/core/scatter/quota_replay_test.go
+++ b/core/scatter/quota_replay_test.go
@@ -50,7 +50,7 @@
 // TestQuotaAroundFailures guards against quotas that are granted twice, or not at all,
 // while the host that decides on a team fails or cannot be reached.
 func TestQuotaAroundFailures(t *testing.T) {
-	owner := func(s *quotaTier) *quotaHost { return s.owner("team-0") }
+	owner := func(s *quotaTier) *quotaHost { return s.owner() }
 	for _, tt := range []struct {
 		name       string
 		fail, mend func(s *quotaTier)
@@ -144,7 +144,7 @@
 			s.configure(2)
 			current := s.gatherers
 			if behind {
-				s.gatherers = slices.DeleteFunc(slices.Clone(current), func(h *quotaHost) bool { return h == s.owner("team-0") })
+				s.gatherers = slices.DeleteFunc(slices.Clone(current), func(h *quotaHost) bool { return h == s.owner() })
 			}
 			s.tell(scatter.ConfigSeen{Config: s.config})
 			s.gatherers = current
@@ -164,7 +164,7 @@
 // decides is of a build that does not know the messages, and runs all that it receives.
 func TestQuotaBesideOlderBuild(t *testing.T) {
 	s := newQuotaTier(t, load(0, 100, 50, 60, ""))
-	owner := s.owner("team-0")
+	owner := s.owner()
 	for i, h := range s.gatherers {
 		h.older = h == owner || i%3 == 0
 	}
--- a/core/scatter/quota_tier_test.go
+++ b/core/scatter/quota_tier_test.go
@@ -123,13 +123,13 @@
 	return nil
 }
 
-// owner returns the host that decides on a team while all hosts are well.
-func (s *quotaTier) owner(id scatter.TeamID) *quotaHost {
+// owner returns the host that decides on the first team while all hosts are well.
+func (s *quotaTier) owner() *quotaHost {
 	var hosts []scatter.Host
 	for _, h := range s.gatherers {
 		hosts = append(hosts, h.Host)
 	}
-	return s.host(scatter.RankQuotaOwners(id, hosts)[0].ID)
+	return s.host(scatter.RankQuotaOwners("team-0", hosts)[0].ID)
 }
 
 func (s *quotaTier) step(h *quotaHost, event scatter.Event) {
