Comments: usual terms in the new parts

Read as a newcomer: beliefs, telling and patience of the new comments and of one test constant became the usual terms. No behaviour changed.

--- a/core/scatter/quota_share.go
+++ b/core/scatter/quota_share.go
@@ -43,7 +43,7 @@
 // counts those that have asked it for a window, and a successor also those that ask it
 // since it lost the owner.
 //
-// A silent gatherer therefore takes its share of the quotas with it: it cannot be told from
+// A silent gatherer therefore takes its share of the quotas with it: it cannot be distinguished from
 // one that is cut off. The exception is one whose address refuses connections while
 // another gatherer of its failure domain is heard: no process runs there. Its share goes to
 // the host to which more than half of the remaining shares are delegated, so that no two
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -164,7 +164,7 @@
 // all tokens were granted.
 const minQuotaWait = time.Millisecond
 
-// tick updates leases and buckets, and keeps the delegation of this host's shares alive.
+// tick updates leases and buckets, and renews the delegation of this host's shares.
 func (q *quotas) tick(now time.Time) {
 	deciding := false
 	for _, t := range q.sorted {
--- a/core/scatter/rollout.go
+++ b/core/scatter/rollout.go
@@ -45,7 +45,7 @@
 	Problem string
 }
 
-// RolloutState is the state that the status of an order tells.
+// RolloutState is the state that the status of an order states.
 type RolloutState string
 
 // The states of an order. An order without a status has the empty state.
@@ -99,7 +99,7 @@
 // Final reports whether the roll-out is over.
 func (p RolloutPhase) Final() bool { return p >= RolloutDone }
 
-// State returns the state that the status of an order in this phase tells.
+// State returns the state that the status of an order in this phase states.
 func (p RolloutPhase) State() RolloutState {
 	switch p {
 	case RolloutDone:
@@ -162,7 +162,7 @@
 // RolloutReported carries the counts of another host.
 type RolloutReported struct{ RolloutReport }
 
-// RolloutReportTaken tells how a host answered the report of this one. It declines if it
+// RolloutReportTaken states how a host answered the report of this one. It declines if it
 // cannot store decisions, or cannot be reached.
 type RolloutReportTaken struct {
 	By       core.HostID
@@ -172,7 +172,7 @@
 // RolloutReport is what one host has counted since its start.
 type RolloutReport struct {
 	Host    core.HostID
-	Started int64 // of the host, which tells two starts apart
+	Started int64 // of the host, which distinguishes two starts
 	Counts  []VersionCounts
 }
 
--- a/core/scatter/rollout_decide.go
+++ b/core/scatter/rollout_decide.go
@@ -73,7 +73,7 @@
 // decide returns the record that is to be stored next, and whether it differs from the
 // stored one. Only the host that decides calls it, and a decision takes effect when it is
 // stored under the revision of the record that it was derived from: of two hosts that both
-// believe to decide, one is refused.
+// consider themselves the deciding host, one is refused.
 //
 // It answers the death of the deciding host, whose successor continues from the record, and
 // versions that turn bad at any time up to the end: a verdict of a bad version always wins
--- a/core/scatter/rollout_engine.go
+++ b/core/scatter/rollout_engine.go
@@ -327,7 +327,7 @@
 }
 
 // MayDecideRollouts reports whether this host may decide on roll-outs. A gatherer may, also
-// while it believes that another host decides: the others may have found out earlier that that
+// while by its own list another host decides: the others may have detected earlier that that
 // one is gone.
 func (e *Engine) MayDecideRollouts() bool {
 	if e.rollouts == nil || e.fleet.role != Gatherer {
--- a/core/scatter/rollout_versions.go
+++ b/core/scatter/rollout_versions.go
@@ -97,7 +97,7 @@
 	return version != "" && !present && (running || now.Sub(b.seenAt) < baseGoneAfter)
 }
 
-// baseVersion returns the version that a service has, as far as no record tells: the known
+// baseVersion returns the version that a service has, if no record states one: the known
 // one while an upstream of it is registered, otherwise that of the earliest start. All hosts
 // that see the same entries choose the same one. The target of an order is chosen only if
 // there is no other.
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -58,7 +58,7 @@
 	}()
 }
 
-// reportRollout sends this host's counts to another host in the background, and tells the
+// reportRollout sends this host's counts to another host in the background, and reports to the
 // core whether that one took them.
 func (h *Host) reportRollout(report scatter.RolloutReportTo) {
 	go func() {
--- a/processtest/crowd/host_test.go
+++ b/processtest/crowd/host_test.go
@@ -31,8 +31,8 @@
 	maxBodyBytes   = 262144
 )
 
-// patience bounds all waiting for things that have to happen, however slowly.
-const patience = 60 * time.Second
+// eventTimeout bounds the wait for events that must occur on a machine of any speed.
+const eventTimeout = 60 * time.Second
 
 var program string
 
@@ -257,7 +257,7 @@
 	h.t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 	var err error
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(eventTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if err = try(client); err == nil {
 			return
 		}
--- a/standin/soak/teams.go
+++ b/standin/soak/teams.go
@@ -53,7 +53,7 @@
 }
 
 // identify sets the headers by which a caller identifies itself. The caller also names a
-// team, which the hosts must not believe.
+// team, which the hosts must replace.
 func (f *fleet) identify(header http.Header, id string) {
 	if !f.teams {
 		return
