--- a/review/lab2/crowd.go
+++ b/review/lab2/crowd.go
@@ -66,7 +66,7 @@
 	for range int(crowdLasts/time.Second) - 3 {
 		time.Sleep(time.Second)
 		now, highest := residentKB(pressed.pid())
-		l.note("%s has %d KB of memory, at most %d KB, and has used %.2f s of the processor", pressed.name, now, highest, processorSeconds(pressed.pid()))
+		l.note("%s has %d KB of memory, at most %d KB, has used %.2f s of the processor, and is ready: %v", pressed.name, now, highest, processorSeconds(pressed.pid()), pressed.ready())
 	}
 	waiting.Wait()
 	served, longest := ordinary.longestUnserved(began, end)
