--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -27,7 +27,7 @@
 	id             string
 	sent, answered time.Time
 	status         int // 0 if the connection ended without a complete answer
-	close          bool
+	close, signed  bool
 	err            error
 }
 
@@ -56,7 +56,7 @@
 	c.lab.note("request %s %s %s is sent to %s", a.id, method, path, c.to.name)
 	_ = c.conn.SetDeadline(a.sent.Add(callerWait))
 	if _, a.err = c.conn.Write(append([]byte(head+"\r\n"), body...)); a.err == nil {
-		a.status, a.close, a.err = c.read(method)
+		a.err = c.read(method, &a)
 	}
 	a.answered = time.Now()
 	if a.err != nil {
@@ -68,14 +68,16 @@
 	return a
 }
 
-func (c *consumer) read(method string) (status int, closes bool, err error) {
+// read reads an answer.
+func (c *consumer) read(method string, a *answer) error {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
-		return 0, false, err
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, response.Close, err
+	a.status, a.close, a.signed = response.StatusCode, response.Close, response.Header.Get("Server-Stamp") != ""
+	return err
 }
 
 func (c *consumer) end() { _ = c.conn.Close() }
