--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -8,14 +8,13 @@
 	"fmt"
 	"math"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/samphirebeam/samphirebeam/edge"
+	"github.com/samphirebeam/samphirebeam/internal/signals"
 	"github.com/samphirebeam/samphirebeam/platform"
 )
 
@@ -48,9 +47,7 @@
 // Main runs the command with the arguments of the process. The options apply to the
 // host that it runs.
 func Main(options ...edge.Option) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	err := command(options).ParseAndRun(ctx, os.Args[1:])
-	stop()
+	err := command(options).ParseAndRun(signals.StopContext(), os.Args[1:])
 	switch {
 	case err == nil:
 	case errors.Is(err, flag.ErrHelp):
@@ -123,27 +120,19 @@
 	if err != nil {
 		return err
 	}
-	go reloadOnSIGHUP(ctx, path, host)
+	go reload(signals.Reloads(), path, host)
 	return host.Run(ctx)
 }
 
-// reloadOnSIGHUP reads the platform's settings again on each SIGHUP.
-func reloadOnSIGHUP(ctx context.Context, path string, host *edge.Host) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-sighup:
-			platformSettings, err := platform.ReadSettings(path)
-			if err != nil {
-				fmt.Fprintln(os.Stderr, "reload:", err)
-				continue
-			}
-			host.Reload(platformSettings)
+// reload reads the platform's settings again after each signal, until the process ends.
+func reload(signals <-chan os.Signal, path string, host *edge.Host) {
+	for range signals {
+		platformSettings, err := platform.ReadSettings(path)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "reload:", err)
+			continue
 		}
+		host.Reload(platformSettings)
 	}
 }
 
