Signals: a host that is ordered to stop before it serves opens no port

Cause: the order was looked at only after the workers had started. Evidence: TestSIGTERMDuringStartEndsTheProcess fails on the old code ("the host was started"). Why it works: the command looks at the order after it has read its settings, before it opens the first port, so there is nothing to finish.

--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -114,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if ctx.Err() != nil {
+		return nil // stopped before any port was open
+	}
 	debug.SetGCPercent(settings.GarbagePercent)
 	debug.SetMemoryLimit(int64(math.Round(heapFraction * float64(platformSettings.MemoryBytes))))
 	host, err := edge.New(settings, platformSettings, os.Stdout, append(slices.Clip(options), edge.WithBuild(buildName()))...)
--- a/edge/command/signals_test.go
+++ b/edge/command/signals_test.go
@@ -298,3 +298,21 @@
 		t.Errorf("the settings were not read again: %s", out)
 	}
 }
+
+// TestSIGTERMDuringStartEndsTheProcess guards against a process that opens its ports to
+// callers although it was ordered to stop before.
+func TestSIGTERMDuringStartEndsTheProcess(t *testing.T) {
+	t.Parallel()
+	p := newProcess(t)
+	await := p.readsSettingsFromPipe()
+	p.start()
+	deliver := await()
+	p.signal(syscall.SIGTERM)
+	time.Sleep(signalDelivery)
+	deliver()
+	p.awaitExit()
+	<-p.logDone
+	if out := p.log.String(); strings.Contains(out, `"event":"start"`) {
+		t.Errorf("the host was started: %s", out)
+	}
+}
