Signals: a log without a reader ends no process

Callers saw (in the test): the process that served them ends without answers as soon as it writes a line after the reader of its log has closed. Cause: the Go runtime ends a process with SIGPIPE if a write to its standard output or error fails, unless the program handles the signal. Evidence: TestLogWithoutReaderEndsNoProcess fails on the old code (EOF in place of an answer). Why it works: with the signal ignored the write fails like any other, which the log drops.

--- a/edge/command/signals_test.go
+++ b/edge/command/signals_test.go
@@ -316,3 +316,20 @@
 		t.Errorf("the host was started: %s", out)
 	}
 }
+
+// TestLogWithoutReaderEndsNoProcess guards against SIGPIPE, which ends a process that
+// writes to a log whose reader is gone.
+func TestLogWithoutReaderEndsNoProcess(t *testing.T) {
+	t.Parallel()
+	p := newProcess(t)
+	p.start()
+	p.awaitReady()
+	_ = p.logReader.Close()
+	for i := range 3 { // each is logged
+		if err := p.order(fmt.Sprint("order-", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.signal(syscall.SIGTERM)
+	p.awaitExit()
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -16,6 +16,8 @@
 
 func init() {
 	signal.Notify(reloads, syscall.SIGHUP)
+	// Otherwise a write to a log whose reader is gone ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 }
 
 // Reloads receives a value after each SIGHUP, or one after several. It may have one
