Signals: samphirebeamd outlives SIGHUP in each phase

Callers saw: requests at a samphirebeamd that gets SIGHUP end without an answer, in normal operation as well as during its planned stop; SIGTERM in the last moments of a stop ended it with "signal: terminated". Evidence: TestFaults/signals_beside_a_planned_stop, eight processes under load, fails on the old code ("signal: hangup", requests at other hosts without an answer). Why it works: it uses internal/signals too, and logs SIGHUP, since no setting changes while a host runs.

--- a/cmd/samphirebeamd/host.go
+++ b/cmd/samphirebeamd/host.go
@@ -14,6 +14,7 @@
 	"github.com/samphirebeam/samphirebeam/core"
 	"github.com/samphirebeam/samphirebeam/core/host"
 	"github.com/samphirebeam/samphirebeam/daemon"
+	"github.com/samphirebeam/samphirebeam/internal/signals"
 	"github.com/samphirebeam/samphirebeam/platform"
 	"github.com/samphirebeam/samphirebeam/settings"
 )
@@ -55,6 +56,11 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range signals.Reloads() {
+			d.Reload()
+		}
+	}()
 	return d.Run(ctx)
 }
 
--- a/cmd/samphirebeamd/main.go
+++ b/cmd/samphirebeamd/main.go
@@ -7,11 +7,10 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/samphirebeam/samphirebeam/internal/signals"
 	"github.com/samphirebeam/samphirebeam/settings"
 
 	_ "github.com/samphirebeam/samphirebeam/plugin/all"
@@ -21,9 +20,7 @@
 var version = "development"
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	err := command().ParseAndRun(ctx, os.Args[1:])
-	stop()
+	err := command().ParseAndRun(signals.StopContext(), os.Args[1:])
 	switch {
 	case err == nil:
 	case errors.Is(err, flag.ErrHelp):
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -222,6 +222,12 @@
 	return err
 }
 
+// Reload handles a request to read the settings again. No setting can change while the
+// host runs, so it only logs that.
+func (d *Daemon) Reload() {
+	d.log.Info().Str("event", "reload").Msg("the settings take effect at the next start")
+}
+
 func (d *Daemon) startRecords() error {
 	messages, err := d.records.subscribe()
 	if err != nil {
--- a/processtest/fault_test.go
+++ b/processtest/fault_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 	{"host frozen past its lease", freezeHost, 10 * time.Second, 2, 5},
 	{"upstreams paused", pauseUpstreams, 5 * time.Second, -1, 32},
 	{"planned stop", stopHost, 5 * time.Second, -1, 5},
+	{"signals beside a planned stop", stopUnderSignals, 5 * time.Second, -1, 5},
 	{"upstream restarted", crashUpstream, 8 * time.Second, -1, 5},
 	{"upstream connections cut", cutConnections, 3 * time.Second, -1, 50},
 	{"peer connections broken", breakPeers, 3 * time.Second, -1, 5},
@@ -129,6 +131,33 @@
 	}
 }
 
+// stopUnderSignals has the settings of all hosts change, and sends a host that stops more
+// signals until it is gone. None may end a host or cut its stop short.
+func stopUnderSignals(t *testing.T, f *fleet.Fleet) {
+	for _, h := range f.Hosts {
+		signal(t, h, syscall.SIGHUP)
+	}
+	ended := make(chan struct{})
+	var sender sync.WaitGroup
+	sender.Go(func() {
+		for {
+			for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+				_ = f.Hosts[2].Signal(s) // fails once the process is gone
+			}
+			select {
+			case <-ended:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+	if err := f.Hosts[2].Wait(30 * time.Second); err != nil {
+		t.Errorf("the planned stop: %v", err)
+	}
+	close(ended)
+	sender.Wait()
+}
+
 func crashUpstream(t *testing.T, f *fleet.Fleet) {
 	control(t, f, upstreamstub.Control{Upstreams: []string{"search-01-a", "search-05-b"}, Crash: true})
 }
