--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -101,7 +101,9 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
-	// disturbed is when the process was sent a signal.
+	// startedAt is when the process was started, disturbed when it was sent a signal that
+	// may cost a request.
+	startedAt time.Time
 	disturbed []time.Time
 }
 
@@ -285,7 +287,7 @@
 		return eris.Wrap(err, "start "+h.name)
 	}
 	ended := make(chan struct{})
-	h.process, h.ended = cmd, ended
+	h.process, h.ended, h.startedAt = cmd, ended, time.Now()
 	go func() {
 		_ = cmd.Wait() // the exit status does not matter: faults kill processes
 		h.mu.Lock()
@@ -309,6 +311,19 @@
 	return h.ended
 }
 
+// loadTime is how long the system may take to load a program, which cannot handle a
+// signal before.
+const loadTime = 50 * time.Millisecond
+
+// hangUp sends SIGHUP to the process, if one runs.
+func (h *host) hangUp() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process != nil && time.Since(h.startedAt) > loadTime {
+		_ = h.process.Process.Signal(syscall.SIGHUP) // fails if the process has just ended
+	}
+}
+
 func (h *host) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + h.readiness + "/readyz")
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -82,6 +82,7 @@
 	j := &faultInjector{fleet: f, checker: c, random: rand.New(rand.NewPCG(config.Seed, 0)), folder: config.Folder}
 	callers.Go(func() { c.sendCrashRequests(config.Seed, stop) })
 	callers.Go(func() { j.restoreStore(config.Seed, config.Faults) })
+	callers.Go(func() { j.changeSettings(config.Seed, stop) })
 	j.run(config.Faults)
 	j.killAll()
 	before := f.crashCount()
@@ -261,6 +262,23 @@
 	}
 }
 
+// meanHangUpInterval is the mean time between two changes of a host's settings.
+const meanHangUpInterval = 100 * time.Millisecond
+
+// changeSettings sends random hosts SIGHUP, whatever else happens to them, until stop is
+// closed. A host that ends because of it stays down, which checkRecovery reports.
+func (j *faultInjector) changeSettings(seed uint64, stop <-chan struct{}) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.Float64() * 2 * float64(meanHangUpInterval))):
+			j.fleet.hosts[random.IntN(len(j.fleet.hosts))].hangUp()
+		}
+	}
+}
+
 func (j *faultInjector) killHost() (string, func()) {
 	h := j.randomHost()
 	ended := h.signal(syscall.SIGKILL)
