--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -226,6 +226,7 @@
 	DecisionUpstreamRemoved        Decision = "upstream_removed"
 	DecisionUpstreamKept           Decision = "upstream_kept_without_entry"
 	DecisionConfig                 Decision = "config_in_force"
+	DecisionFeedsLapsed            Decision = "feeds_lapsed"
 	DecisionDomains                Decision = "domains_out"
 	DecisionHosts                  Decision = "hosts_counted"
 	DecisionRegistryReachable      Decision = "registry_reachable"
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -166,10 +166,15 @@
 
 func byID(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) }
 
-// drop removes an upstream. Attempts that run there continue.
+// drop removes an upstream that has left the registry.
 func (d *directory) drop(now time.Time, u *upstream) {
-	u.removed = true
 	d.restored.recordRemoval(now, u.Start())
+	d.detach(now, u)
+}
+
+// detach removes an upstream. Attempts that run there continue.
+func (d *directory) detach(_ time.Time, u *upstream) {
+	u.removed = true
 	delete(d.byID, u.ID)
 	list := d.byService[u.Service]
 	if at, found := slices.BinarySearchFunc(list, u, byID); found {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -40,13 +40,17 @@
 
 // Engine is the decision core of one host. It is not safe for concurrent use.
 type Engine struct {
-	options    Options
-	config     *Config
-	directory  *directory
-	fleet      *fleet
-	hosts      retained[core.HostID, Host]
-	domainsOut retained[core.DomainID, bool]
-	handovers  map[core.CallID]*handover
+	options Options
+	// config is the version in force, nil for none. newestVersion is the newest one that
+	// has been in force.
+	config        *Config
+	newestVersion uint64
+	lapsed        lapsedFeeds
+	directory     *directory
+	fleet         *fleet
+	hosts         retained[core.HostID, Host]
+	domainsOut    retained[core.DomainID, bool]
+	handovers     map[core.CallID]*handover
 	// aloneUntil is until when this host stays ready to answer requests itself,
 	// after no other host accepted one.
 	aloneUntil         time.Time
@@ -199,9 +203,9 @@
 	return slices.AppendSeq(slices.Collect(maps.Keys(e.calls)), maps.Keys(e.handovers))
 }
 
-// Ready reports whether this host can send to upstreams: it has a configuration
-// and has listed the upstreams.
-func (e *Engine) Ready() bool { return e.config != nil && e.directory.listed }
+// Ready reports whether this host can send to upstreams: it has a configuration and has
+// listed the upstreams, and has followed both since.
+func (e *Engine) Ready() bool { return e.config != nil && e.directory.listed && !e.lapsed.any() }
 
 // Serves reports whether callers' requests can be answered here or handed over.
 func (e *Engine) Serves() bool {
@@ -211,13 +215,12 @@
 // Withdrawn reports whether callers should use hosts of other failure domains.
 func (e *Engine) Withdrawn() bool { return e.withdrawn }
 
-// Limits returns the caller limits of the configuration in force; false if there
-// is none.
-func (e *Engine) Limits() (CallerLimits, bool) {
+// Limits returns the caller limits of the configuration in force; none if there is none.
+func (e *Engine) Limits() CallerLimits {
 	if e.config == nil {
-		return CallerLimits{}, false
+		return CallerLimits{}
 	}
-	return e.config.Limits, true
+	return e.config.Limits
 }
 
 // Version returns the configuration version in force, 0 for none.
@@ -255,6 +258,7 @@
 		}
 		fire(now)
 	}
+	e.lapsed.read(event)
 	e.handle(now, event)
 	e.refreshVersions(now, event)
 }
@@ -267,6 +271,8 @@
 		e.handleReply(now, event)
 	case CallerGone:
 		e.callerGone(now, event.Call)
+	case FeedsLapsed:
+		e.lapse(now)
 	case ConfigSeen:
 		e.setConfig(now, event.Config)
 	case UpstreamsListed:
@@ -352,10 +358,10 @@
 
 // setConfig puts a newer version in force and ignores any other.
 func (e *Engine) setConfig(now time.Time, c *Config) {
-	if e.config != nil && c.Version <= e.config.Version {
+	if c.Version < e.newestVersion || e.config != nil && c.Version == e.config.Version {
 		return
 	}
-	e.config = c
+	e.config, e.newestVersion = c, c.Version
 	e.splits = map[*Route]*weightedRoundRobin{}
 	for id := range e.budgets {
 		if _, known := c.Services[id]; !known {
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -64,6 +64,11 @@
 // ConfigSeen is a version of the configuration, which may be outdated.
 type ConfigSeen struct{ Config *Config }
 
+// FeedsLapsed reports that this host follows only the list of hosts from now on. The next
+// events of the other feeds come from the time when it follows them again, and the first
+// one of each holds the whole state.
+type FeedsLapsed struct{}
+
 // UpstreamsListed is the whole list of registered upstreams.
 type UpstreamsListed struct {
 	Upstreams []Upstream
@@ -211,6 +216,7 @@
 func (CallerGone) isEvent()      {}
 func (AttemptEnded) isEvent()    {}
 func (ConfigSeen) isEvent()      {}
+func (FeedsLapsed) isEvent()     {}
 func (UpstreamsListed) isEvent() {}
 func (UpstreamSeen) isEvent()    {}
 func (UpstreamRemoved) isEvent() {}
--- a/core/scatter/feed.go
+++ b/core/scatter/feed.go
@@ -15,6 +15,9 @@
 // sources, some of which lag behind. The zero value has no state yet.
 type FeedCursor struct {
 	loaded bool
+	// lapsed is true if the state is no longer kept up to date. Only a whole state that is
+	// not older replaces it.
+	lapsed bool
 	at     core.Position
 }
 
@@ -31,19 +34,19 @@
 	RequestReset
 )
 
-// Position returns the position of the state; false if there is none.
-func (c *FeedCursor) Position() (core.Position, bool) { return c.at, c.loaded }
+// Position returns the position of the state; false if there is none that is kept up to date.
+func (c *FeedCursor) Position() (core.Position, bool) { return c.at, c.loaded && !c.lapsed }
 
 // Decide returns what is to be done with an update. Restored is true if the update
 // replaces the state by that of a store which was restored from an older copy.
 func (c *FeedCursor) Decide(u FeedUpdate) (decision FeedDecision, restored bool) {
 	at := c.positionOf(u)
 	switch {
-	case c.loaded && at.Compare(c.at) <= 0:
+	case c.loaded && at.Compare(c.at) < 0, c.loaded && !c.lapsed && at.Compare(c.at) == 0:
 		return IgnoreUpdate, false
 	case u.Reset:
 		return ApplyUpdate, c.loaded && at.Era != c.at.Era
-	case !c.loaded || at.Era != c.at.Era || u.Base > c.at.Revision:
+	case !c.loaded || c.lapsed || at.Era != c.at.Era || u.Base > c.at.Revision:
 		return RequestReset, false
 	default:
 		return ApplyUpdate, false
@@ -51,7 +54,10 @@
 }
 
 // Advance records that an update was applied.
-func (c *FeedCursor) Advance(u FeedUpdate) { c.at, c.loaded = c.positionOf(u), true }
+func (c *FeedCursor) Advance(u FeedUpdate) { c.at, c.loaded, c.lapsed = c.positionOf(u), true, false }
+
+// Lapse records that the state is no longer kept up to date.
+func (c *FeedCursor) Lapse() { c.lapsed = c.loaded }
 
 // Invalidate discards the state, for instance because an update was applied in part.
 func (c *FeedCursor) Invalidate() { c.loaded = false }
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -256,9 +256,10 @@
 const localAnswerPeriod = 30 * time.Second
 
 // Active reports whether this host must follow the configuration and the list of
-// upstreams. A partitioned host does, so that it can gather again at once.
+// upstreams. A partitioned host does, so that it can gather again at once, and so does one
+// that still works on calls.
 func (e *Engine) Active(now time.Time) bool {
-	return e.fleet.role != Entry || now.Before(e.aloneUntil) || len(e.fleet.peers) == 0 || e.fleet.selfPartitioned
+	return e.fleet.role != Entry || now.Before(e.aloneUntil) || len(e.fleet.peers) == 0 || e.fleet.selfPartitioned || len(e.calls) > 0
 }
 
 // pickPeer returns the host with the lowest cost for a handover, or nil. It prefers
--- a/core/scatter/quota_engine.go
+++ b/core/scatter/quota_engine.go
@@ -28,7 +28,7 @@
 // to date on the first that has any.
 func (e *Engine) setQuotas(now time.Time) {
 	limited := e.config.Teams.limited()
-	e.quotas.setTeams(limited)
+	e.quotas.setTeams(now, limited)
 	if len(limited) > 0 && !e.quotas.ticking {
 		e.quotas.ticking = true
 		e.quotas.started, e.quotas.shares.startedAt = e.startedAt.UnixMicro(), e.startedAt
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -105,7 +105,7 @@
 
 // setTeams applies the teams with a limit of the configuration in force. Others are
 // forgotten, unless requests of an older version wait for tokens.
-func (q *quotas) setTeams(teams []*Team) {
+func (q *quotas) setTeams(_ time.Time, teams []*Team) {
 	limited := make(map[TeamID]bool, len(teams))
 	for _, team := range teams {
 		limited[team.ID] = true
--- a/edge/host.go
+++ b/edge/host.go
@@ -112,6 +112,7 @@
 	h.registry.onHostSeen = func(id core.HostID) { h.tryEnqueue(scatter.HostAlive{ID: id}) }
 	h.registry.followers.onChange = func(followed bool) { h.enqueue(scatter.Followed{ByOthers: followed}) }
 	h.registry.onSilentHosts = func(report scatter.HostsSilent) { h.tryEnqueue(report) }
+	h.registry.onLapsed = func() { h.enqueue(scatter.FeedsLapsed{}) }
 	h.registry.onStoreReachable = func(e scatter.StoreReachable) { h.enqueue(e) }
 	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.registry.gate, h.log, h.panics)
 	h.peerConns = newPeerConns(platformSettings, h.clientLog)
@@ -264,10 +265,8 @@
 	}
 	for _, note := range actions.Notes {
 		h.notes.write(now, note)
-		if note.Decision == scatter.DecisionConfig {
-			if limits, known := h.decision.core.Limits(); known {
-				h.frontend.setLimits(limits)
-			}
+		if note.Decision == scatter.DecisionConfig || note.Decision == scatter.DecisionFeedsLapsed {
+			h.frontend.setLimits(h.decision.core.Limits())
 		}
 	}
 	h.publishCoreState(now)
--- a/edge/hub.go
+++ b/edge/hub.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +24,10 @@
 	feed    *platform.Feed
 	deliver func(platform.EventBatch)
 
-	mu             sync.Mutex
-	cursor         scatter.FeedCursor
+	mu     sync.Mutex
+	cursor scatter.FeedCursor
+	// followed is false while this host does not keep the feed up to date.
+	followed       bool
 	objects        map[string]platform.Change
 	sources        int // sources that are up: the store reader and streams
 	storeUp        bool
@@ -48,7 +52,7 @@
 
 func newHub(feed *platform.Feed, deliver func(platform.EventBatch)) *hub {
 	return &hub{
-		feed: feed, deliver: deliver,
+		feed: feed, deliver: deliver, followed: true,
 		objects: map[string]platform.Change{}, subscribers: map[*subscriber]struct{}{},
 		onIgnored: func(platform.Update, core.Position) {}, onRestored: func(core.Position) {},
 	}
@@ -63,11 +67,26 @@
 	}
 }
 
+// setFollowed states whether this host keeps the feed up to date. Once it does not, updates
+// are ignored, and the state at hand counts as not loaded.
+func (h *hub) setFollowed(followed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.followed = followed
+	if !followed {
+		h.cursor.Lapse()
+		h.sourceLostAt = time.Time{}
+	}
+}
+
 // apply applies an update from a source. It returns false if changes before the
 // update are missing; the source then has to send the full state.
 func (h *hub) apply(u platform.Update) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !h.followed {
+		return true // from a source that is being closed
+	}
 	step := u.Step()
 	decision, restored := h.cursor.Decide(step)
 	switch decision {
@@ -94,6 +113,9 @@
 			h.objects[name] = c
 		}
 	}
+	if u.Reset && h.feed.Versioned() {
+		u.Changes = h.allObjects() // the source may have an older version
+	}
 	// If the delivery panics, the full state is requested again.
 	h.cursor.Invalidate()
 	h.deliver(h.feed.Events(u))
@@ -167,13 +189,12 @@
 // fullUpdate returns the full state as one update. The caller holds h.mu.
 func (h *hub) fullUpdate() platform.Update {
 	at, _ := h.cursor.Position()
-	u := platform.Update{Reset: true, Era: at.Era, Revision: at.Revision, Changes: make([]platform.Change, 0, len(h.objects))}
-	for _, c := range h.objects {
-		u.Changes = append(u.Changes, c)
-	}
-	return u
+	return platform.Update{Reset: true, Era: at.Era, Revision: at.Revision, Changes: h.allObjects()}
 }
 
+// allObjects returns all objects of the state as changes. The caller holds h.mu.
+func (h *hub) allObjects() []platform.Change { return slices.Collect(maps.Values(h.objects)) }
+
 // snapshot returns the full state, which may be outdated, or nil when the feed
 // has not been loaded.
 func (h *hub) snapshot() (*edgepb.FeedUpdate, error) {
@@ -274,7 +295,7 @@
 	after := h.sources > 0
 	now := time.Now()
 	gap := scatter.SourceGap{Source: from}
-	if before && !after {
+	if before && !after && h.followed {
 		h.sourceLostAt = now
 	}
 	if !before && after && !h.sourceLostAt.IsZero() {
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -101,8 +101,10 @@
 	// onStoreReachable is called with false when the first feed loses its last
 	// source, and with true when all feeds have one again.
 	onStoreReachable func(scatter.StoreReachable)
-	sourceMu         sync.Mutex
-	feedsWithSource  int
+	// onLapsed is called when this host stops following all feeds but the list of hosts.
+	onLapsed        func()
+	sourceMu        sync.Mutex
+	feedsWithSource int
 	// storeMayHaveFailed is true if a feed has a source again that had none while the
 	// store may have been unavailable, until it is reported.
 	storeMayHaveFailed bool
@@ -333,6 +335,7 @@
 	lastUpdate     time.Time // of this host's record
 	fetching       atomic.Bool
 	unlistedSince  time.Time // zero while this host is in the list of hosts
+	lapsed         bool      // only the list of hosts is kept up to date
 	tasks          sync.WaitGroup
 }
 
@@ -352,6 +355,9 @@
 func (w *registrySupervisor) adjust(ctx context.Context) {
 	r := w.registry
 	p := r.current.Load()
+	if p.active || p.isReader() {
+		w.setFollowed(true)
+	}
 	following := r.openStreams.Load() > 0
 	switch {
 	case !following:
@@ -382,6 +388,27 @@
 	case !p.active && reading.Streams == 0:
 		w.refreshHosts(ctx, p, reading.CutOffFor)
 	}
+	if !p.active && w.stopReaders == nil {
+		w.setFollowed(false)
+	}
+}
+
+// setFollowed states whether this host keeps all feeds up to date, or only the list of
+// hosts.
+func (w *registrySupervisor) setFollowed(followed bool) {
+	if w.lapsed == !followed {
+		return
+	}
+	w.lapsed = !followed
+	r := w.registry
+	for _, hub := range r.hubs {
+		if hub != r.hosts {
+			hub.setFollowed(followed)
+		}
+	}
+	if !followed {
+		r.onLapsed()
+	}
 }
 
 // storeReading returns what determines whether this host reads the store.
