Limits for callers end with the configuration that set them

Callers saw: a limit that a version sets stayed in force after a version that does not set it, or after the host stopped following the configuration, until the process ended. Cause: the front end took over only the limits that are set, and never went back. Evidence: TestLimitsOfCallersEndWithTheirConfiguration; without the change of setLimits it fails. Why it works: each call sets all four limits, the fallback where there is none.

--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// The fallback limits apply until the operators' configuration is loaded.
+	// The fallback limits apply while no configuration is in force here.
 	fallbackHeaderTimeout = 10 * time.Second
 	fallbackIdleTimeout   = 60 * time.Second
 	fallbackHeaderBytes   = 64 << 10
@@ -67,10 +67,7 @@
 
 func newFrontend(tryEnqueue func(scatter.Event) bool, m *hostMetrics, memory *platform.Memory, maxConns int, log *clientLog, p *panicHandler) *frontend {
 	f := &frontend{tryEnqueue: tryEnqueue, metrics: m, memory: memory, panics: p, calls: map[core.CallID]*pendingRequest{}, idle: map[net.Conn]time.Time{}}
-	f.maxHeaderBytes.Store(fallbackHeaderBytes)
-	f.maxBodyBytes.Store(fallbackBodyBytes)
-	f.headerTimeout.Store(int64(fallbackHeaderTimeout))
-	f.idleTimeout.Store(int64(fallbackIdleTimeout))
+	f.setLimits(scatter.CallerLimits{})
 	f.conns = newClientConns("callers", maxConns, memory, f.maxHeaderBytes.Load, log)
 	f.server = &http.Server{
 		Handler:        http.HandlerFunc(f.serve),
@@ -82,20 +79,21 @@
 	return f
 }
 
-// setLimits applies the limits that the configuration in force sets for callers.
+// setLimits applies the limits that the configuration in force sets for callers. The
+// fallback limits apply for those that it does not set.
 func (f *frontend) setLimits(limits scatter.CallerLimits) {
-	if limits.MaxHeaderBytes > 0 {
-		f.maxHeaderBytes.Store(int64(limits.MaxHeaderBytes))
-	}
-	if limits.MaxBodyBytes > 0 {
-		f.maxBodyBytes.Store(limits.MaxBodyBytes)
-	}
-	if limits.HeaderTimeout > 0 {
-		f.headerTimeout.Store(int64(limits.HeaderTimeout))
-	}
-	if limits.IdleTimeout > 0 {
-		f.idleTimeout.Store(int64(limits.IdleTimeout))
+	f.maxHeaderBytes.Store(int64(positiveOr(limits.MaxHeaderBytes, fallbackHeaderBytes)))
+	f.maxBodyBytes.Store(positiveOr(limits.MaxBodyBytes, fallbackBodyBytes))
+	f.headerTimeout.Store(int64(positiveOr(limits.HeaderTimeout, fallbackHeaderTimeout)))
+	f.idleTimeout.Store(int64(positiveOr(limits.IdleTimeout, fallbackIdleTimeout)))
+}
+
+// positiveOr returns a limit, or the fallback if it is not set.
+func positiveOr[T int | int64 | time.Duration](limit, fallback T) T {
+	if limit > 0 {
+		return limit
 	}
+	return fallback
 }
 
 // connState tracks which connections are idle.
--- a/edge/lapse_test.go
+++ b/edge/lapse_test.go
@@ -166,3 +166,16 @@
 		t.Errorf("version %d, the unchanged list must be delivered again", version)
 	}
 }
+
+// TestLimitsOfCallersEndWithTheirConfiguration guards against limits that stay in force
+// after the configuration that set them.
+func TestLimitsOfCallersEndWithTheirConfiguration(t *testing.T) {
+	t.Parallel()
+	f := newFrontend(nil, newHostMetrics(), platform.NewMemory(1<<20), 8, nil, &panicHandler{})
+	f.setLimits(scatter.CallerLimits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4})
+	f.setLimits(scatter.CallerLimits{})
+	got := [...]int64{f.maxHeaderBytes.Load(), f.maxBodyBytes.Load(), f.headerTimeout.Load(), f.idleTimeout.Load()}
+	if want := [...]int64{fallbackHeaderBytes, fallbackBodyBytes, int64(fallbackHeaderTimeout), int64(fallbackIdleTimeout)}; got != want {
+		t.Errorf("limits %v, want %v", got, want)
+	}
+}
