Command: the check for an early stop in the form that the linter takes

nilerr takes the error of the context for one that is dropped. TestSIGTERMDuringStartEndsTheProcess covers the branch; behaviour is the same.

--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -114,8 +114,10 @@
 	if err != nil {
 		return err
 	}
-	if ctx.Err() != nil {
-		return nil // stopped before any port was open
+	select {
+	case <-ctx.Done(): // stopped before any port was open
+		return nil
+	default:
 	}
 	debug.SetGCPercent(settings.GarbagePercent)
 	debug.SetMemoryLimit(int64(math.Round(heapFraction * float64(platformSettings.MemoryBytes))))
