--- a/core/scatter/config.go
+++ b/core/scatter/config.go
@@ -119,6 +119,12 @@
 	return c
 }
 
+// hasService reports whether the configuration lists a service.
+func (c *Config) hasService(id core.ServiceID) bool {
+	_, found := c.Services[id]
+	return found
+}
+
 // Match returns the route with the longest prefix of the path among those of
 // the host name, or nil. A port in the host name is ignored.
 func (c *Config) Match(host, path string) *Route {
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -59,7 +59,7 @@
 	sequence           uint64
 	startedAt          time.Time // of the first step
 	timers             schedule.Timers[timerFunc]
-	budgets            map[core.ServiceID]*extraBudget
+	budgets            protections[core.ServiceID, *extraBudget]
 	latencies          map[latencyKey]*latencyEstimate
 	queues             map[core.ServiceID]*queue
 	quarantine         *quarantine
@@ -167,7 +167,7 @@
 		handovers:  map[core.CallID]*handover{},
 		calls:      map[core.CallID]*call{},
 		attempts:   map[uint64]*attempt{},
-		budgets:    map[core.ServiceID]*extraBudget{},
+		budgets:    newProtections[core.ServiceID, *extraBudget](),
 		latencies:  map[latencyKey]*latencyEstimate{},
 		queues:     map[core.ServiceID]*queue{},
 		quarantine: newQuarantine(options.Self),
@@ -182,22 +182,6 @@
 	return e
 }
 
-// Successor returns an engine that replaces this one after an unexpected error.
-// It inherits only the state that limits sends to upstreams (budgets, notices and
-// the quarantine) and the counters, and reuses no attempt number.
-func (e *Engine) Successor() *Engine {
-	next := New(e.options)
-	next.sequence, next.startedAt, next.stopsAt = e.sequence, e.startedAt, e.stopsAt
-	next.budgets = e.budgets
-	next.directory.notices = e.directory.notices
-	next.quarantine = e.quarantine.forSuccessor()
-	next.quotas.ledger, next.quotas.number = e.quotas.ledger, e.quotas.number
-	next.useRollouts(e.rollouts.forSuccessor())
-	next.stats = e.stats
-	next.directory.capacityStats = e.directory.capacityStats
-	return next
-}
-
 // Unanswered returns the calls that have not been answered.
 func (e *Engine) Unanswered() []core.CallID {
 	return slices.AppendSeq(slices.Collect(maps.Keys(e.calls)), maps.Keys(e.handovers))
@@ -363,13 +347,9 @@
 	}
 	e.config, e.newestVersion = c, c.Version
 	e.splits = map[*Route]*weightedRoundRobin{}
-	for id := range e.budgets {
-		if _, known := c.Services[id]; !known {
-			delete(e.budgets, id)
-		}
-	}
+	e.budgets.release(now, func(id core.ServiceID) bool { return c.hasService(id) })
 	for id, q := range e.queues {
-		if _, known := c.Services[id]; !known && q.running == 0 && len(q.parts) == 0 {
+		if !c.hasService(id) && q.running == 0 && len(q.parts) == 0 {
 			delete(e.queues, id)
 		}
 	}
@@ -476,10 +456,10 @@
 }
 
 func (e *Engine) budget(id core.ServiceID) *extraBudget {
-	b := e.budgets[id]
+	b := e.budgets.byKey[id]
 	if b == nil {
 		b = &extraBudget{}
-		e.budgets[id] = b
+		e.budgets.byKey[id] = b
 	}
 	return b
 }
