State that bounds sends to an upstream outlives its entry

Servers saw: an upstream whose entry is removed and put back, or that a list leaves out, or that a host reads again after a lapse or with a new core, was treated as one never seen before. Cause: the rate of a cold upstream, backoffs, stated limits and the requests in flight lived in the entry of the list.

--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -97,6 +97,8 @@
 	pendingGrace []*upstream
 	notices      *Notices
 	restored     restoredEntries
+	// detached are the starts without an entry whose state still bounds sends to them.
+	detached protections[noticeKey, *upstream]
 	// replaced is true while other hosts may have taken over this host's share of the
 	// rate of cold upstreams, since it does not reach upstreams or is registered so.
 	// It sends nothing to cold upstreams then and until coldHoldUntil.
@@ -120,6 +122,7 @@
 		domain:    domain,
 		reachable: true,
 		notices:   NewNotices(),
+		detached:  newProtections[noticeKey, *upstream](),
 	}
 }
 
@@ -132,14 +135,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstream{Upstream: entry, slowness: 1, window: initialWindow, tieBreak: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
-		known := d.notices.Lookup(now, entry)
-		u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
-		u.limit = limitState{RateLimit: known.Limit, since: now, logged: known.Limit.PerSecond}
-		d.updateLimit(now, u, true)
-		if d.learnsCapacity {
-			u.capacity = newCapacity()
-		}
+		u = d.attach(now, entry)
 		d.byID[entry.ID] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
@@ -157,6 +153,30 @@
 	return decision
 }
 
+// attach returns the state of an upstream that has no entry yet. A start that had one shortly
+// before continues with its state.
+func (d *directory) attach(now time.Time, entry Upstream) *upstream {
+	known := d.notices.Lookup(now, entry)
+	u, back := d.detached.take(noticeKeyOf(entry))
+	if back = back && u.Service == entry.Service; !back {
+		u = &upstream{slowness: 1, window: initialWindow, tieBreak: float64(rendezvous(d.self, entry.ID)%1024) * 1e-6}
+		if d.learnsCapacity {
+			u.capacity = newCapacity()
+		}
+	}
+	u.Upstream = entry
+	u.removed, u.missingSince = false, time.Time{}
+	u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
+	if back && u.limit.Stated && known.Limit.Stated {
+		u.limit.RateLimit = known.Limit
+		d.updateLimit(now, u, false)
+	} else {
+		u.limit = limitState{RateLimit: known.Limit, since: now, logged: known.Limit.PerSecond}
+		d.updateLimit(now, u, true)
+	}
+	return u
+}
+
 // setCold records until when the upstream stays cold.
 func (d *directory) setCold(u *upstream, now time.Time, entry Upstream) {
 	if entry.ColdFor > 0 {
@@ -173,8 +193,9 @@
 }
 
 // detach removes an upstream. Attempts that run there continue.
-func (d *directory) detach(_ time.Time, u *upstream) {
+func (d *directory) detach(now time.Time, u *upstream) {
 	u.removed = true
+	d.detached.add(now, noticeKeyOf(u.Upstream), u)
 	delete(d.byID, u.ID)
 	list := d.byService[u.Service]
 	if at, found := slices.BinarySearchFunc(list, u, byID); found {
--- a/core/scatter/protection.go
+++ b/core/scatter/protection.go
@@ -58,3 +58,10 @@
 
 // empty reports whether no bucket has an event.
 func (w *window) empty(now time.Time) bool { return w.sum(now, 0, maxBuckets) == 0 }
+
+// expired reports whether nothing of a start that is not listed bounds sends to it: no
+// attempt runs, it is not cold, and no rate, backoff or limit withholds a send.
+func (u *upstream) expired(now time.Time) bool {
+	return len(u.running) == 0 && !now.Before(u.coldUntil) && !now.Before(u.nextCold) && !now.Before(u.withheldUntil) &&
+		!now.Before(u.limit.allowedAt()) && now.Sub(u.backoffUntil) >= maxBackoff
+}
--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -84,6 +84,16 @@
 	return requests
 }
 
+// sendTimes returns when requests were sent to an upstream.
+func (r *rig) sendTimes(id core.UpstreamID) (times []time.Time) {
+	for i, s := range r.sends {
+		if s.Target.ID == id {
+			times = append(times, r.sentAt[i])
+		}
+	}
+	return times
+}
+
 func eachFlip(t *testing.T, test func(t *testing.T, leaveOut func(*flip))) {
 	for _, name := range slices.Sorted(maps.Keys(flips)) {
 		t.Run(name, func(t *testing.T) { test(t, flips[name]) })
@@ -102,3 +112,95 @@
 		}
 	})
 }
+
+// TestColdRateSurvivesFlips guards against a cold upstream that gets more requests than it
+// can serve, because each return of its entry allows one at once.
+func TestColdRateSurvivesFlips(t *testing.T) {
+	eachFlip(t, func(t *testing.T, leaveOut func(*flip)) {
+		const perSecond = 4
+		cold := pair("files")[:1]
+		cold[0].ColdFor = 20 * time.Second
+		f := newFlip(t, scatter.Service{ID: "files", Connections: 96, ColdFor: 20 * time.Second, ColdRate: perSecond}, cold...)
+		f.load(4*time.Second, leaveOut)
+		times := f.r.sendTimes(cold[0].ID)
+		for i, from := range times {
+			within := 0
+			for _, at := range times[i:] {
+				if at.Sub(from) < time.Second {
+					within++
+				}
+			}
+			if within > perSecond+1 {
+				t.Fatalf("%d requests in a second, the rate is %d", within, perSecond)
+			}
+		}
+		if len(times) < perSecond {
+			t.Errorf("only %d requests in 4 s", len(times))
+		}
+	})
+}
+
+// TestBackoffSurvivesFlips guards against an upstream that refuses connections and is tried
+// again with each return of its entry, while another one serves.
+func TestBackoffSurvivesFlips(t *testing.T) {
+	eachFlip(t, func(t *testing.T, leaveOut func(*flip)) {
+		f := newFlip(t, scatter.Service{ID: "files", Connections: 96}, pair("files")...)
+		f.r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+			if s.Target.ID == "files-a" {
+				return ms, scatter.Unreached
+			}
+			return ms, scatter.Succeeded
+		}
+		f.load(3*time.Second, leaveOut)
+		// Backoffs of 100 ms and twice as much each time allow six in 3 s.
+		if n := len(f.r.sendTimes("files-a")); n == 0 || n > 6 {
+			t.Errorf("%d sends to an upstream in backoff", n)
+		}
+	})
+}
+
+// TestLimitSurvivesFlips guards against an upstream that states a rate limit, and gets more
+// with each return of its entry.
+func TestLimitSurvivesFlips(t *testing.T) {
+	eachFlip(t, func(t *testing.T, leaveOut func(*flip)) {
+		f := newFlip(t, scatter.Service{ID: "files", Connections: 96}, pair("files")[:1]...)
+		f.r.notice = func(scatter.Send) scatter.Notice {
+			return scatter.Notice{Limit: scatter.RateLimit{Stated: true, PerSecond: 10}}
+		}
+		f.load(200*ms, func(*flip) {})
+		before := len(f.r.sends)
+		f.load(4*time.Second, leaveOut)
+		if n := len(f.r.sends) - before; n > 45 || n < 5 {
+			t.Errorf("%d requests in 4 s, the limit is 10 a second", n)
+		}
+	})
+}
+
+// TestRunningRequestsSurviveFlips guards against more requests at once than the upstream
+// takes from this host, because those that run are not counted any more.
+func TestRunningRequestsSurviveFlips(t *testing.T) {
+	eachFlip(t, func(t *testing.T, leaveOut func(*flip)) {
+		f := newFlip(t, scatter.Service{ID: "files", Connections: 3}, pair("files")[:1]...)
+		running, most := 0, 0
+		engine := f.r.engine
+		f.r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) {
+			if f.r.engine != engine { // the sender bounds what runs from before
+				engine, running = f.r.engine, 0
+			}
+			counted := engine
+			if running++; running > most {
+				most = running
+			}
+			f.r.later.Add(f.r.now.Add(700*ms), func() {
+				if f.r.engine == counted {
+					running--
+				}
+			})
+			return 700 * ms, scatter.Succeeded
+		}
+		f.load(4*time.Second, leaveOut)
+		if most > 3 {
+			t.Errorf("%d requests at once over 3 connections", most)
+		}
+	})
+}
