Quotas: tokens that were granted outlive versions and cores

Teams saw: while gatherers were cut off from each other, a team got 850 requests in a window where its quota and the excess allow 625, if versions left the team out for a moment. Cause: such a version deleted the team's state and bucket, with the count of the fallback tokens and the lease by which another host still grants this host's share. A replaced core inherited the buckets only, so it could count its own share at once. Change: teams and buckets are protections. They are released once no claim is open, nothing was granted for a window and no lease runs. The successor of a core inherits shares and teams, without claims and held tokens.

--- a/core/scatter/protection.go
+++ b/core/scatter/protection.go
@@ -65,3 +65,13 @@
 	return len(u.running) == 0 && !now.Before(u.coldUntil) && !now.Before(u.nextCold) && !now.Before(u.withheldUntil) &&
 		!now.Before(u.limit.allowedAt()) && now.Sub(u.backoffUntil) >= maxBackoff
 }
+
+// expired reports whether a bucket without a quota has granted no fallback tokens in the
+// last windows. A new one starts empty, so it grants no more otherwise.
+func (b *quotaBucket) expired(now time.Time) bool { return b.fallback.empty(now) }
+
+// expired reports whether a team without a limit has no claims, no tokens that were granted
+// within a window, and no share that another host may still grant.
+func (t *quotaTeam) expired(now time.Time) bool {
+	return len(t.claims) == 0 && now.Sub(t.usedAt) >= t.window && !now.Before(t.lapsesAt) && now.Sub(t.delegatedAt) >= quotaLease
+}
--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -204,3 +204,36 @@
 		}
 	})
 }
+
+// TestQuotaSurvivesFlips guards against teams that get more than their quotas because a
+// version leaves them out for a moment, or a core is replaced, while gatherers are cut off
+// from each other and grant fallback tokens.
+func TestQuotaSurvivesFlips(t *testing.T) {
+	for name, flip := range map[string]func(s *quotaTier, h *quotaHost, version uint64){
+		"versions": func(s *quotaTier, h *quotaHost, version uint64) {
+			without := *s.config
+			without.Version, without.Teams = version, nil
+			with := *s.config
+			with.Version = version + 1
+			s.step(h, scatter.ConfigSeen{Config: &without})
+			s.step(h, scatter.ConfigSeen{Config: &with})
+		},
+		"replaced cores": func(s *quotaTier, h *quotaHost, _ uint64) {
+			h.engine = h.engine.Successor()
+			s.tellAll(h)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newQuotaTier(t, load(0, 100, 50, 600, ""))
+			from := s.now
+			s.cut(s.owner().Domain, 1)
+			for i := range 80 {
+				s.run(250 * ms)
+				for _, h := range s.gatherers {
+					flip(s, h, uint64(10+2*i))
+				}
+			}
+			s.check(from, 0)
+		})
+	}
+}
--- a/core/scatter/quota_asker.go
+++ b/core/scatter/quota_asker.go
@@ -27,6 +27,8 @@
 	// retryAt is when the last caller that was refused is to come back.
 	retryAt time.Time
 	usedAt  time.Time // of the last claim
+	// window is how long claims count, see QuotaLimits.
+	window time.Duration
 	// decider is the host to which this host delegates its share of the quota; nil if
 	// that is this host. lapsesAt is when the lease of the one before has ended.
 	decider  *quotaLink
@@ -326,7 +328,7 @@
 		q.after(now.Add(quotaLease), func(now time.Time) { q.endSkip(now, l) })
 	}
 	for _, want := range asked {
-		t := q.teams[want.Team]
+		t := q.teams.byKey[want.Team]
 		if t == nil || want.Tokens == 0 {
 			continue
 		}
--- a/core/scatter/quota_engine.go
+++ b/core/scatter/quota_engine.go
@@ -38,7 +38,8 @@
 
 // tickQuotas updates the quotas regularly while there are any.
 func (e *Engine) tickQuotas(now time.Time) {
-	if len(e.quotas.teams) == 0 {
+	e.quotas.release(now)
+	if len(e.quotas.teams.byKey) == 0 {
 		e.quotas.ticking = false
 		return
 	}
--- a/core/scatter/quota_owner.go
+++ b/core/scatter/quota_owner.go
@@ -9,7 +9,7 @@
 // quotaLedger holds the buckets of the teams on which this host decides. It prevents a
 // grant from being made twice when a message is duplicated or arrives late.
 type quotaLedger struct {
-	buckets map[TeamID]*quotaBucket
+	buckets protections[TeamID, *quotaBucket]
 	askers  map[core.HostID]*quotaAsker
 }
 
@@ -20,7 +20,7 @@
 }
 
 func newQuotaLedger() *quotaLedger {
-	return &quotaLedger{buckets: map[TeamID]*quotaBucket{}, askers: map[core.HostID]*quotaAsker{}}
+	return &quotaLedger{buckets: newProtections[TeamID, *quotaBucket](), askers: map[core.HostID]*quotaAsker{}}
 }
 
 // maxQuotaAskers bounds the memory that requests under invented names can take.
@@ -45,10 +45,10 @@
 
 // bucket returns the bucket of a team as of now.
 func (l *quotaLedger) bucket(now time.Time, id TeamID, q Quota, share float64, window time.Duration) *quotaBucket {
-	b := l.buckets[id]
+	b := l.buckets.byKey[id]
 	if b == nil {
 		b = &quotaBucket{}
-		l.buckets[id] = b
+		l.buckets.byKey[id] = b
 	}
 	b.advance(now, q, share, window)
 	return b
--- a/core/scatter/quota_tier.go
+++ b/core/scatter/quota_tier.go
@@ -22,8 +22,9 @@
 	shares   quotaShares
 	pending  []Host    // the gatherers once the change has settled
 	listedAt time.Time // of the first list
-	teams    map[TeamID]*quotaTeam
-	sorted   []*quotaTeam // by ID
+	teams    protections[TeamID, *quotaTeam]
+	limited  map[TeamID]bool // the teams with a limit in force
+	sorted   []*quotaTeam    // by ID
 	links    map[core.HostID]*quotaLink
 	ledger   *quotaLedger
 	stats    *Stats
@@ -36,7 +37,7 @@
 
 func newQuotas(self core.HostID, limits QuotaLimits) *quotas {
 	q := &quotas{
-		self: self, limits: limits.orDefault(), teams: map[TeamID]*quotaTeam{}, links: map[core.HostID]*quotaLink{}, ledger: newQuotaLedger(),
+		self: self, limits: limits.orDefault(), teams: newProtections[TeamID, *quotaTeam](), links: map[core.HostID]*quotaLink{}, ledger: newQuotaLedger(),
 		shares: newQuotaShares(),
 	}
 	q.shares.refuses = func(id core.HostID) bool { return q.links[id] != nil && q.links[id].skipping() && q.links[id].refused }
@@ -86,13 +87,13 @@
 
 // team returns the state of a team with the limit that is in force.
 func (q *quotas) team(id TeamID, quota Quota) *quotaTeam {
-	t := q.teams[id]
+	t := q.teams.byKey[id]
 	if t == nil {
 		t = &quotaTeam{
-			id: id, declined: map[core.HostID]time.Time{}, owners: rankQuotaOwners(id, q.shares.members),
+			id: id, window: q.limits.Window, declined: map[core.HostID]time.Time{}, owners: rankQuotaOwners(id, q.shares.members),
 			delegatedBy: map[core.HostID]time.Time{}, askedBy: map[core.HostID]time.Time{}, asksSince: map[core.HostID]time.Time{},
 		}
-		q.teams[id] = t
+		q.teams.byKey[id] = t
 		q.sortTeams()
 	}
 	if t.quota != quota {
@@ -103,21 +104,28 @@
 	return t
 }
 
-// setTeams applies the teams with a limit of the configuration in force. Others are
-// forgotten, unless requests of an older version wait for tokens.
-func (q *quotas) setTeams(_ time.Time, teams []*Team) {
-	limited := make(map[TeamID]bool, len(teams))
+// setTeams applies the teams with a limit of the configuration in force.
+func (q *quotas) setTeams(now time.Time, teams []*Team) {
+	q.limited = make(map[TeamID]bool, len(teams))
 	for _, team := range teams {
-		limited[team.ID] = true
+		q.limited[team.ID] = true
 		q.team(team.ID, team.Quota)
 	}
-	maps.DeleteFunc(q.teams, func(id TeamID, t *quotaTeam) bool { return !limited[id] && len(t.claims) == 0 })
-	maps.DeleteFunc(q.ledger.buckets, func(id TeamID, _ *quotaBucket) bool { return q.teams[id] == nil })
-	q.sortTeams()
+	q.release(now)
+}
+
+// release forgets the teams without a limit once their state bounds nothing any more.
+func (q *quotas) release(now time.Time) {
+	before := len(q.teams.byKey)
+	q.teams.release(now, func(id TeamID) bool { return q.limited[id] })
+	q.ledger.buckets.release(now, func(id TeamID) bool { return q.teams.byKey[id] != nil })
+	if len(q.teams.byKey) != before {
+		q.sortTeams()
+	}
 }
 
 func (q *quotas) sortTeams() {
-	q.sorted = slices.SortedFunc(maps.Values(q.teams), func(a, b *quotaTeam) int { return cmp.Compare(a.id, b.id) })
+	q.sorted = slices.SortedFunc(maps.Values(q.teams.byKey), func(a, b *quotaTeam) int { return cmp.Compare(a.id, b.id) })
 }
 
 // askAll asks again for all open claims, after the hosts to ask have changed.
--- a/core/scatter/quota_tier_test.go
+++ b/core/scatter/quota_tier_test.go
@@ -107,6 +107,11 @@
 
 func (s *quotaTier) start(h *quotaHost) {
 	h.engine, h.frozen, h.missed = scatter.New(scatter.Options{Self: h.ID, Domain: h.Domain, AssumedHosts: 32, Random: s.random.Float64}), false, nil
+	s.tellAll(h)
+}
+
+// tellAll passes the whole state of the store to a host.
+func (s *quotaTier) tellAll(h *quotaHost) {
 	s.step(h, scatter.HostsSeen{Hosts: slices.Clone(s.all)})
 	var upstreams []scatter.Upstream
 	for i := range 12 {
--- a/core/scatter/successor.go
+++ b/core/scatter/successor.go
@@ -1,15 +1,14 @@
 package scatter
 
 // Successor returns an engine that replaces this one after an unexpected error.
-// It inherits only the state that limits sends to upstreams (budgets, the
-// state of upstreams and the quarantine) and the counters, and reuses no attempt number.
+// It inherits only the state that limits sends to upstreams and requests of teams, and the counters, and reuses no attempt number.
 func (e *Engine) Successor() *Engine {
 	next := New(e.options)
 	next.sequence, next.startedAt, next.stopsAt = e.sequence, e.startedAt, e.stopsAt
 	next.budgets = e.budgets
 	next.directory.inherit(e.directory)
 	next.quarantine = e.quarantine.forSuccessor()
-	next.quotas.ledger, next.quotas.number = e.quotas.ledger, e.quotas.number
+	next.quotas.inherit(e.quotas)
 	next.useRollouts(e.rollouts.forSuccessor())
 	next.stats = e.stats
 	return next
@@ -27,3 +26,22 @@
 		u.running = nil
 	}
 }
+
+// inherit takes over the tokens that were granted and the shares that other hosts may still
+// grant. Claims have ended with their calls, and tokens that this host held are lost.
+func (q *quotas) inherit(old *quotas) {
+	q.ledger, q.number, q.listedAt, q.pending = old.ledger, old.number, old.listedAt, old.pending
+	refuses, skipped := q.shares.refuses, q.shares.skipped
+	q.shares = old.shares
+	q.shares.refuses, q.shares.skipped = refuses, skipped
+	for id, t := range old.teams.byKey {
+		if t.decider != nil && !t.delegatedAt.IsZero() {
+			t.lapsesAt = latest(t.lapsesAt, t.delegatedAt.Add(quotaLease))
+		}
+		q.teams.byKey[id] = &quotaTeam{
+			id: id, quota: t.quota, window: t.window, owners: t.owners, local: t.local, usedAt: t.usedAt, deniedUntil: t.deniedUntil,
+			lapsesAt: t.lapsesAt, declined: t.declined, delegatedBy: t.delegatedBy, askedBy: t.askedBy, asksSince: t.asksSince,
+		}
+	}
+	q.sortTeams()
+}
