Shares of the allowance for extra sends grow a window late

Servers saw (in the test): 63 extra sends of one host for 100 requests, where 27 are allowed, after the seven others had left the list of hosts: those may have spent their shares. Cause: the share followed the list of hosts at once in both directions. A replaced core also forgot that its host had taken the place of another within the window. Change: laggingShare is the least share within the last window, and the successor of a core inherits it. Evidence: TestAllowanceGrowsLate fails on the old code.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -253,7 +253,10 @@
 // they have discovered this one. The same holds for a host that takes the place of
 // another one.
 func (e *Engine) allowanceShare(now time.Time) float64 {
-	share := e.fleet.allowanceShare()
+	if e.fleet.role == Entry {
+		return 0
+	}
+	share := e.allowance.least(now, e.options.Extra.Window)
 	restarted := !e.options.FirstStart && now.Sub(e.startedAt) < e.options.Extra.Window
 	promoted := !e.targetSince.IsZero() && now.Sub(e.targetSince) < e.options.Extra.Window
 	if restarted || promoted {
--- a/core/scatter/budget.go
+++ b/core/scatter/budget.go
@@ -97,6 +97,44 @@
 	return float64(spent+1) <= budgetUtilization*share
 }
 
+// laggingShare is a share of the allowance that shrinks at once and grows a window late:
+// the hosts that have gone may have spent theirs within it.
+type laggingShare struct {
+	// changes are the shares within the last window, the oldest from before it.
+	changes []shareChange
+}
+
+type shareChange struct {
+	at    time.Time
+	share float64
+}
+
+// set records a change of the share.
+func (s *laggingShare) set(now time.Time, share float64, window time.Duration) {
+	s.expire(now, window)
+	s.changes = append(s.changes, shareChange{now, share})
+}
+
+// least returns the least share within the last window.
+func (s *laggingShare) least(now time.Time, window time.Duration) float64 {
+	s.expire(now, window)
+	least := math.Inf(1)
+	for _, c := range s.changes {
+		least = min(least, c.share)
+	}
+	if len(s.changes) == 0 {
+		return 0
+	}
+	return least
+}
+
+// expire drops the shares that were replaced before the last window.
+func (s *laggingShare) expire(now time.Time, window time.Duration) {
+	for len(s.changes) > 1 && now.Sub(s.changes[1].at) > window {
+		s.changes = s.changes[1:]
+	}
+}
+
 // budgetUtilization is the fraction of the budget that is used. The rest covers
 // sends that the upstream counts in a later window than this host.
 const budgetUtilization = 0.9
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -72,6 +72,7 @@
 	// targetSince is when this host stopped being an entry host; the zero time if it
 	// has never been one.
 	targetSince time.Time
+	allowance   laggingShare
 	// unservedShare is a moving average of the share of requests that were not
 	// served; withdrawn is true while this host accepts no callers.
 	unservedShare float64
@@ -410,6 +411,7 @@
 		e.directory.hosts = append(e.directory.hosts, h.ID)
 	}
 	e.quotas.setGatherers(now, e.fleet.ranked[:e.fleet.gatherers()])
+	e.allowance.set(now, e.fleet.allowanceShare(), e.options.Extra.Window)
 	e.directory.hostCount = len(e.fleet.ranked)
 	e.directory.place = e.fleet.place()
 	for _, u := range e.directory.byID {
--- a/core/scatter/hosts.go
+++ b/core/scatter/hosts.go
@@ -243,11 +243,11 @@
 	return slices.DeleteFunc(slices.Clone(f.handoverTargets()), func(h Host) bool { return h.Domain != f.domain || h.ID == f.self })
 }
 
-// allowanceShare returns this host's share of the extra sends that the tier may
-// make beyond a ratio of its requests. Entry hosts have none. The shares do not grow
-// while hosts are partitioned, since those may have used theirs shortly before.
+// allowanceShare returns the share of each host but entry hosts of the extra sends that the
+// tier may make beyond a ratio of its requests. The shares do not grow while hosts are
+// partitioned, since those may have used theirs shortly before.
 func (f *fleet) allowanceShare() float64 {
-	if f.role == Entry || len(f.ranked) == 0 {
+	if len(f.ranked) == 0 {
 		return 0
 	}
 	return 1 / float64(max(f.minTargets, len(f.handoverTargets())))
--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -237,3 +237,33 @@
 		})
 	}
 }
+
+// TestAllowanceGrowsLate guards against hosts that use the shares of hosts that have gone
+// within the same window as these.
+func TestAllowanceGrowsLate(t *testing.T) {
+	r := newRig(t)
+	hosts := []scatter.Host{{ID: "host-1", Domain: "d1", Cores: 1}}
+	for _, id := range []core.HostID{"host-2", "host-3", "host-4", "host-5", "host-6", "host-7", "host-8"} {
+		hosts = append(hosts, scatter.Host{ID: id, Domain: "d1", Cores: 1})
+	}
+	r.step(scatter.HostsSeen{Hosts: hosts})
+	r.configure(1, 1)
+	r.run(30 * time.Second)
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 2 * ms, scatter.Failed }
+	extras := func(requests int) int {
+		before := len(r.sends)
+		for range requests {
+			r.arrive(scatter.RequestArrived{Path: fetchPath, Budget: time.Second, FromHost: true})
+			r.run(10 * ms)
+		}
+		return len(r.sends) - before - requests
+	}
+	r.step(scatter.HostsSeen{Hosts: hosts[:1]}) // the seven others may have used their shares
+	if got, limit := extras(100), 0.2*100+56.0/8; float64(got) > limit {
+		t.Errorf("%d extra sends, %g allowed", got, limit)
+	}
+	r.run(20 * time.Second)
+	if got := extras(100); got < 40 {
+		t.Errorf("%d extra sends a window later", got)
+	}
+}
--- a/core/scatter/successor.go
+++ b/core/scatter/successor.go
@@ -5,6 +5,7 @@
 func (e *Engine) Successor() *Engine {
 	next := New(e.options)
 	next.sequence, next.startedAt, next.stopsAt = e.sequence, e.startedAt, e.stopsAt
+	next.targetSince, next.allowance = e.targetSince, e.allowance
 	next.budgets = e.budgets
 	next.directory.inherit(e.directory)
 	next.quarantine = e.quarantine.forSuccessor()
