What a restored store has lost outlives a replaced core

Servers saw (in the test): within the 5 s after a restore, a core that replaces another sends to upstreams that had left or drained, and to a failure domain that is out of service. Cause: the successor read the restored lists as the first ones. It also forgot that hosts that take over a partitioned host's share of cold rates may still use it. Change: it inherits the grace periods with what they keep, the hold on cold upstreams, and the newest version of the configuration.

--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -387,12 +387,17 @@
 	for _, h := range event.Hosts {
 		listed[h.ID] = h
 	}
-	e.setHosts(now, slices.Collect(maps.Values(e.hosts.list(now, listed, event.Restored))))
+	e.hosts.list(now, listed, event.Restored)
+	e.applyHosts(now)
 	if event.Restored {
-		e.timers.Add(e.hosts.until, func(now time.Time) { e.setHosts(now, slices.Collect(maps.Values(e.hosts.inForce(now)))) })
+		e.timers.Add(e.hosts.until, e.applyHosts)
 	}
 }
 
+func (e *Engine) applyHosts(now time.Time) {
+	e.setHosts(now, slices.Collect(maps.Values(e.hosts.inForce(now))))
+}
+
 func (e *Engine) setHosts(now time.Time, hosts []Host) {
 	listedBefore, roleBefore, outBefore := len(e.fleet.ranked) > 0, e.fleet.role, e.fleet.selfPartitioned
 	if !e.fleet.set(hosts) {
--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -84,6 +84,16 @@
 	return requests
 }
 
+// burst sends twelve requests at once, a number of times.
+func (f *flip) burst(times int) {
+	for range times {
+		for range 12 {
+			f.r.ask(fetchPath)
+		}
+		f.r.run(300 * ms)
+	}
+}
+
 // sendTimes returns when requests were sent to an upstream.
 func (r *rig) sendTimes(id core.UpstreamID) (times []time.Time) {
 	for i, s := range r.sends {
@@ -267,3 +277,34 @@
 		t.Errorf("%d extra sends a window later", got)
 	}
 }
+
+// TestRestoreGraceOutlivesTheCore guards against sends to upstreams that have left or drain,
+// and to failure domains that are out of service, when a core is replaced while a restored
+// store still lists them as they were.
+func TestRestoreGraceOutlivesTheCore(t *testing.T) {
+	more := func(id core.UpstreamID, domain core.DomainID) scatter.Upstream {
+		return scatter.Upstream{ID: id, Service: "files", Domain: domain, Address: "10.0.0.1:1", Slots: 2}
+	}
+	all := append(pair("files"), more("files-c", "d1"), more("files-d", "d3"))
+	f := newFlip(t, scatter.Service{ID: "files", Connections: 96}, all...)
+	draining := all[1]
+	draining.Draining = true
+	f.r.step(scatter.UpstreamRemoved{ID: all[0].ID})
+	f.r.step(scatter.UpstreamSeen{Upstream: draining})
+	f.r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{"d3": true}})
+	f.r.step(scatter.UpstreamsListed{Upstreams: all, Restored: true})
+	f.r.step(scatter.DomainsOut{Restored: true})
+	flips["the core is replaced"](f)
+	f.r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 20 * ms, scatter.Succeeded }
+	f.burst(10) // 3 s
+	if n := f.r.sentTo("files-c"); n != len(f.r.sends) || n == 0 {
+		t.Errorf("%d of %d requests went to the upstream that is in service", n, len(f.r.sends))
+	}
+	f.r.run(10 * time.Second) // nobody has corrected the store
+	f.burst(20)
+	for _, u := range all {
+		if f.r.sentTo(u.ID) == 0 {
+			t.Errorf("%s is not used after the grace period", u.ID)
+		}
+	}
+}
--- a/core/scatter/restore.go
+++ b/core/scatter/restore.go
@@ -104,7 +104,8 @@
 	}
 	u := d.byID[entry.ID]
 	if u == nil {
-		return d.restored.wasRemoved(now, entry.Start())
+		before := d.detached.byKey[noticeKeyOf(entry)] // if the core was replaced
+		return d.restored.wasRemoved(now, entry.Start()) || before != nil && before.Draining && !entry.Draining
 	}
 	return entry.Started < u.Started || entry.Started == u.Started && u.Draining && !entry.Draining
 }
--- a/core/scatter/successor.go
+++ b/core/scatter/successor.go
@@ -1,10 +1,14 @@
 package scatter
 
-// Successor returns an engine that replaces this one after an unexpected error.
-// It inherits only the state that limits sends to upstreams and requests of teams, and the counters, and reuses no attempt number.
+import "time"
+
+// Successor returns an engine that replaces this one after an unexpected error. It inherits
+// only the state that limits sends to upstreams and requests of teams, and the counters, and
+// reuses no attempt number.
 func (e *Engine) Successor() *Engine {
 	next := New(e.options)
 	next.sequence, next.startedAt, next.stopsAt = e.sequence, e.startedAt, e.stopsAt
+	next.newestVersion = e.newestVersion
 	next.targetSince, next.allowance = e.targetSince, e.allowance
 	next.budgets = e.budgets
 	next.directory.inherit(e.directory)
@@ -12,13 +16,27 @@
 	next.quotas.inherit(e.quotas)
 	next.useRollouts(e.rollouts.forSuccessor())
 	next.stats = e.stats
+	// What a restored store lacks stays in force until the end of the grace period.
+	next.domainsOut, next.hosts = e.domainsOut, e.hosts
+	next.at(next.domainsOut.until, func(now time.Time) { next.setDomains(next.domainsOut.inForce(now)) })
+	next.at(next.directory.restored.until, func(now time.Time) { next.directory.acceptHeld(now, next.noteUpstream) })
+	next.at(next.hosts.until, next.applyHosts)
 	return next
 }
 
+// at schedules what ends a grace period, if there has been one.
+func (e *Engine) at(end time.Time, fire timerFunc) {
+	if !end.IsZero() {
+		e.timers.Add(end, fire)
+	}
+}
+
 // inherit takes over what bounds sends to upstreams. Their entries and the attempts that run
 // there are not known any more.
 func (d *directory) inherit(old *directory) {
 	d.notices, d.capacityStats = old.notices, old.capacityStats
+	d.replaced, d.coldHoldUntil = old.replaced, old.coldHoldUntil
+	d.restored = old.restored
 	d.detached = old.detached
 	for _, u := range old.byID {
 		d.detached.byKey[noticeKeyOf(u.Upstream)] = u
