A quarantine outlives the host that found the request

Servers saw (in the test): a request that had crashed three upstreams was run again as soon as the record of the host that found it was removed, as happens 10 minutes after a host is gone; quarantines last up to an hour. Cause: a record that is missing counted like one that withdraws its findings. A host that withdraws them stores a record without them. Change: findings of hosts whose records are gone count until they expire, for as long as their finder would have kept them. Evidence: TestQuarantineOutlivesItsFinder fails on the old code; TestWithdrawnFindingsDoNotCount holds before and after.

--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -278,6 +278,50 @@
 	}
 }
 
+// TestQuarantineOutlivesItsFinder guards against a request that crashes its upstreams and is
+// run again because the host that found it, and so its record, is gone.
+func TestQuarantineOutlivesItsFinder(t *testing.T) {
+	fingerprint := core.FingerprintOf([]byte("deadly"))
+	ask := func(r *rig, want scatter.AnswerKind) {
+		t.Helper()
+		call := r.arrive(scatter.RequestArrived{Path: fetchPath, Budget: time.Second, Fingerprint: fingerprint})
+		r.run(50 * ms)
+		r.want(call, want)
+	}
+	r := newRig(t)
+	r.configure(1, 1)
+	found := scatter.Suspect{Fingerprint: fingerprint}
+	for i, id := range []core.UpstreamID{"x", "y", "z"} {
+		found.Ended = append(found.Ended, scatter.Crash{UpstreamStart: scatter.UpstreamStart{ID: id, Started: 1}, Order: i + 1})
+	}
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": {found}}})
+	ask(r, scatter.Refused)
+	r.step(scatter.SuspectsSeen{})
+	ask(r, scatter.Refused)
+	r.engine = r.engine.Successor()
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{})
+	ask(r, scatter.Refused)
+	r.run(3 * time.Hour)
+	r.step(scatter.SuspectsSeen{})
+	ask(r, scatter.PassedOn)
+}
+
+// TestWithdrawnFindingsDoNotCount checks that findings end with the record that withdraws them.
+func TestWithdrawnFindingsDoNotCount(t *testing.T) {
+	fingerprint := core.FingerprintOf([]byte("innocent"))
+	found := scatter.Suspect{Fingerprint: fingerprint, Ended: []scatter.Crash{
+		{UpstreamStart: scatter.UpstreamStart{ID: "x", Started: 1}, Order: 1}, {UpstreamStart: scatter.UpstreamStart{ID: "y", Started: 1}, Order: 2},
+	}}
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": {found}}})
+	r.step(scatter.SuspectsSeen{ByHost: map[core.HostID][]scatter.Suspect{"host-2": {}}})
+	call := r.arrive(scatter.RequestArrived{Path: fetchPath, Budget: time.Second, Fingerprint: fingerprint})
+	r.run(50 * ms)
+	r.want(call, scatter.PassedOn)
+}
+
 // TestRestoreGraceOutlivesTheCore guards against sends to upstreams that have left or drain,
 // and to failure domains that are out of service, when a core is replaced while a restored
 // store still lists them as they were.
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -65,6 +65,7 @@
 	// listed is true once this host has read the stored findings. Before, it
 	// would overwrite its own record without having read it.
 	listed     bool
+	departed   departedFinders
 	published  []Suspect
 	publishing bool // whether the timer is set
 	sweeping   bool // whether the timer is set
@@ -272,6 +273,7 @@
 		q.adopt()
 		q.published = byHost[q.self]
 	}
+	byHost = q.departed.include(now, byHost)
 	for _, s := range q.suspects {
 		for _, e := range s.crashes {
 			e.reported = false
