--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -46,6 +46,7 @@
 	config        *Config
 	newestVersion uint64
 	lapsed        lapsedFeeds
+	reported      LimitsReported // the newest
 	directory     *directory
 	fleet         *fleet
 	hosts         retained[core.HostID, Host]
@@ -200,12 +201,13 @@
 // Withdrawn reports whether callers should use hosts of other failure domains.
 func (e *Engine) Withdrawn() bool { return e.withdrawn }
 
-// Limits returns the caller limits of the configuration in force; none if there is none.
-func (e *Engine) Limits() CallerLimits {
+// Limits returns the caller limits of the configuration in force. While there is none here,
+// they are those of the host that this one follows, and none if it reports none.
+func (e *Engine) Limits() (version uint64, limits CallerLimits) {
 	if e.config == nil {
-		return CallerLimits{}
+		return e.reported.Version, e.reported.Limits
 	}
-	return e.config.Limits
+	return e.config.Version, e.config.Limits
 }
 
 // Version returns the configuration version in force, 0 for none.
@@ -256,6 +258,10 @@
 		e.handleReply(now, event)
 	case CallerGone:
 		e.callerGone(now, event.Call)
+	case LimitsReported:
+		if event.Version > e.reported.Version && event.Version >= e.newestVersion {
+			e.reported = event
+		}
 	case FeedsLapsed:
 		e.lapse(now)
 	case ConfigSeen:
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -69,6 +69,13 @@
 // one of each holds the whole state.
 type FeedsLapsed struct{}
 
+// LimitsReported are the limits for callers of the version that is in force at a host that
+// this one follows.
+type LimitsReported struct {
+	Version uint64
+	Limits  CallerLimits
+}
+
 // UpstreamsListed is the whole list of registered upstreams.
 type UpstreamsListed struct {
 	Upstreams []Upstream
@@ -216,6 +223,7 @@
 func (CallerGone) isEvent()      {}
 func (AttemptEnded) isEvent()    {}
 func (ConfigSeen) isEvent()      {}
+func (LimitsReported) isEvent()  {}
 func (FeedsLapsed) isEvent()     {}
 func (UpstreamsListed) isEvent() {}
 func (UpstreamSeen) isEvent()    {}
--- a/core/scatter/lapse.go
+++ b/core/scatter/lapse.go
@@ -52,7 +52,7 @@
 		return
 	}
 	version := e.Version()
-	e.config = nil
+	e.config, e.reported = nil, LimitsReported{}
 	e.splits = map[*Route]*weightedRoundRobin{}
 	e.quotas.setTeams(now, nil)
 	e.directory.lapse(now)
--- a/core/scatter/lapse_test.go
+++ b/core/scatter/lapse_test.go
@@ -20,6 +20,12 @@
 	return r
 }
 
+// limits returns the limits for callers.
+func (r *rig) limits() scatter.CallerLimits {
+	_, limits := r.engine.Limits()
+	return limits
+}
+
 // follow delivers what a host reads first of all feeds: the upstreams of a service, the
 // failure domains that are out, and a version whose route fetch goes to that service.
 func (r *rig) follow(version uint64, service core.ServiceID, out ...core.DomainID) []scatter.Event {
@@ -55,8 +61,8 @@
 		}
 		r.step(scatter.FeedsLapsed{})
 		before := len(r.sends)
-		if r.engine.Version() != 0 || r.engine.Limits() != (scatter.CallerLimits{}) {
-			t.Errorf("version %d with limits %v is in force", r.engine.Version(), r.engine.Limits())
+		if r.engine.Version() != 0 || r.limits() != (scatter.CallerLimits{}) {
+			t.Errorf("version %d with limits %v is in force", r.engine.Version(), r.limits())
 		}
 		events := r.follow(2, "orders", "d1")
 		for i := range events {
@@ -78,8 +84,8 @@
 				t.Errorf("a request was sent to %s", s.Target.ID)
 			}
 		}
-		if r.engine.Limits().MaxBodyBytes != 7 {
-			t.Errorf("limits %v", r.engine.Limits())
+		if r.limits().MaxBodyBytes != 7 {
+			t.Errorf("limits %v", r.limits())
 		}
 	}
 }
--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -225,9 +225,9 @@
 	}
 }
 
-// callerLimits returns the memory for callers, and how many connections they may
+// callerShares returns the memory for callers, and how many connections they may
 // open.
-func callerLimits(s platform.HostSettings) (memory int64, connections int) {
+func callerShares(s platform.HostSettings) (memory int64, connections int) {
 	memory = int64(callerMemoryShare * float64(s.MemoryBytes))
 	return memory, min(connectionShare(s, callerDescriptorShare), int(callerConnShare*float64(memory)/clientConnBytes))
 }
--- a/edge/cluster_test.go
+++ b/edge/cluster_test.go
@@ -39,6 +39,8 @@
 	teams []map[string]any
 	// idleTimeout is the configured idle timeout of callers' connections.
 	idleTimeout time.Duration
+	// maxBodyBytes is the configured limit for callers' bodies.
+	maxBodyBytes int
 	// versions are the versions of servers; v1 if there is none.
 	versions map[string]string
 	rollout  scatter.RolloutLimits
@@ -50,7 +52,7 @@
 	store := platformstub.New()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections)
-	return &testCluster{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}, domains: map[string]string{}, idleTimeout: 15 * time.Second}
+	return &testCluster{t: t, store: store, address: strings.TrimPrefix(server.URL, "http://"), servers: map[string]*serverstub.Server{}, domains: map[string]string{}, idleTimeout: 15 * time.Second, maxBodyBytes: 1 << 20}
 }
 
 // addServer starts a server in the failure domain d1 and registers it.
@@ -132,7 +134,7 @@
 			route("/order/", "non_idempotent", map[string]any{"service": "orders"}),
 		},
 		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": cluster.idleTimeout.Milliseconds()},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": cluster.maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": cluster.idleTimeout.Milliseconds()},
 	}
 	if cluster.teams != nil {
 		config["tenants"] = cluster.teams
--- a/edge/host.go
+++ b/edge/host.go
@@ -59,6 +59,7 @@
 	stopping         atomic.Bool
 	upstreamLinks    upstreamLinks // published by the core
 	configVersion    atomic.Uint64 // version of the configuration in force
+	callerLimits     callerLimits
 	draining         chan struct{} // closed when other hosts have to stop using this one
 	closingStreams   chan struct{} // closed when the streams of other hosts have to end
 	workers          sync.WaitGroup
@@ -97,7 +98,7 @@
 	})
 	h.panics = &panicHandler{log: h.log, count: h.metrics.panics}
 	h.notes = newNoteWriter(h.log)
-	callerMemory, callerConns := callerLimits(platformSettings)
+	callerMemory, callerConns := callerShares(platformSettings)
 	memory := platform.NewMemory(callerMemory)
 	h.clientLog = newClientLog(h.log, h.metrics.registry)
 	h.sender = newSender(h.enqueue, memory, h.panics)
@@ -112,6 +113,7 @@
 	h.registry.onHostSeen = func(id core.HostID) { h.tryEnqueue(scatter.HostAlive{ID: id}) }
 	h.registry.followers.onChange = func(followed bool) { h.enqueue(scatter.Followed{ByOthers: followed}) }
 	h.registry.onSilentHosts = func(report scatter.HostsSilent) { h.tryEnqueue(report) }
+	h.registry.onCallerLimits = func(report scatter.LimitsReported) { h.tryEnqueue(report) }
 	h.registry.onLapsed = func() { h.enqueue(scatter.FeedsLapsed{}) }
 	h.registry.onStoreReachable = func(e scatter.StoreReachable) { h.enqueue(e) }
 	h.suspects = newSuspectWriter(platform.NewSuspectRecord(h.objects, platformSettings.Host), h.registry.gate, h.log, h.panics)
@@ -265,9 +267,6 @@
 	}
 	for _, note := range actions.Notes {
 		h.notes.write(now, note)
-		if note.Decision == scatter.DecisionConfig || note.Decision == scatter.DecisionFeedsLapsed {
-			h.frontend.setLimits(h.decision.core.Limits())
-		}
 	}
 	h.publishCoreState(now)
 }
@@ -336,6 +335,11 @@
 func (h *Host) publishCoreState(now time.Time) {
 	c := h.decision.core
 	h.configVersion.Store(c.Version())
+	if version, limits := c.Limits(); h.callerLimits.set(version, limits) {
+		h.frontend.setLimits(limits)
+		h.log.Info().Str("event", "caller_limits").Uint64("config_version", version).Int64("max_body_bytes", h.frontend.maxBodyBytes.Load()).
+			Int64("max_header_bytes", h.frontend.maxHeaderBytes.Load()).Msg("the limits for callers have changed")
+	}
 	if !h.ready.Load() && c.Serves() {
 		h.ready.Store(true)
 		h.log.Info().Str("event", "ready").Str("role", c.Role().String()).Uint64("config_version", c.Version()).Msg("ready to serve requests")
--- a/edge/lapse_test.go
+++ b/edge/lapse_test.go
@@ -22,34 +22,13 @@
 	cluster.addServer("before", "old", serverstub.Config{})
 	cluster.addServer("after", "new", serverstub.Config{})
 	cluster.configure("before")
-	power := func(i int) float64 { return []float64{1, 0.1}[min(i, 1)] }
-	hosts := make([]*testHost, 7)
-	for i := range hosts {
-		hosts[i] = cluster.launchHost("d1", fmt.Sprint("h", i), power(i))
-	}
-	var entries []*testHost
+	hosts, entry := cluster.launchTier()
 	others := map[int]*testHost{}
-	eventually(t, func() error {
-		entries = nil
-		clear(others)
-		for i, h := range hosts {
-			role, count := scatter.Gatherer, 0
-			h.decision.query(func(e *scatter.Engine) { role, count = e.Role(), len(e.Registered()) })
-			if count < len(hosts) {
-				return fmt.Errorf("%s counts %d hosts", h.platformSettings.Host, count)
-			}
-			if role == scatter.Entry {
-				entries = append(entries, h)
-			} else {
-				others[i] = h
-			}
+	for i, h := range hosts {
+		if h.role() != scatter.Entry {
+			others[i] = h
 		}
-		return nil
-	})
-	if len(entries) == 0 {
-		t.Fatal("no entry host")
 	}
-	entry := entries[0]
 	stopOthers := func() {
 		var stops sync.WaitGroup
 		for _, h := range others {
@@ -82,7 +61,7 @@
 	}
 	cluster.firstStart = false
 	for i := range others {
-		others[i] = cluster.startHost(fmt.Sprint("h", i), power(i))
+		others[i] = cluster.startHost(fmt.Sprint("h", i), tierPower(i))
 	}
 	for end := time.Now().Add(60 * time.Second); active(); time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -97,7 +97,9 @@
 	// with each list of silent hosts that such a host reports.
 	onHostSeen    func(core.HostID)
 	onSilentHosts func(scatter.HostsSilent)
-	silentHosts   *silentHosts // reported to this host's followers
+	// onCallerLimits is called with the limits for callers that such a host reports.
+	onCallerLimits func(scatter.LimitsReported)
+	silentHosts    *silentHosts // reported to this host's followers
 	// onStoreReachable is called with false when the first feed loses its last
 	// source, and with true when all feeds have one again.
 	onStoreReachable func(scatter.StoreReachable)
@@ -225,6 +227,9 @@
 		r.onHostSeen(reader.ID)
 		if message.Feed == "" {
 			r.onSilentHosts(scatter.HostsSilent{By: reader.ID, Hosts: hostIDs(message.SilentHosts)})
+			if limits := message.CallerLimits; limits != nil {
+				r.onCallerLimits(decodeCallerLimits(limits))
+			}
 			continue
 		}
 		if err := r.applyMessage(message); err != nil {
--- a/edge/service.go
+++ b/edge/service.go
@@ -97,26 +97,31 @@
 func (s *peerService) sendUpdates(stream grpc.ServerStreamingServer[edgepb.FeedUpdate], merged <-chan *edgepb.FeedUpdate) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	if silent, _ := s.host.registry.silentHosts.get(); len(silent) > 0 {
-		if err := stream.Send(&edgepb.FeedUpdate{SilentHosts: silent}); err != nil {
+	heartbeat := func() *edgepb.FeedUpdate {
+		silent, _ := s.host.registry.silentHosts.get()
+		return &edgepb.FeedUpdate{SilentHosts: silent, CallerLimits: s.host.callerLimits.encode()}
+	}
+	if first := heartbeat(); len(first.SilentHosts) > 0 || first.CallerLimits != nil {
+		if err := stream.Send(first); err != nil {
 			return err
 		}
 	}
 	for {
-		silent, changed := s.host.registry.silentHosts.get()
-		update := &edgepb.FeedUpdate{SilentHosts: silent}
+		var update *edgepb.FeedUpdate
+		_, silentChanged := s.host.registry.silentHosts.get()
 		select {
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		case <-s.host.draining:
 			return status.Error(codes.Unavailable, "this host stops")
-		case <-changed:
-			update.SilentHosts, _ = s.host.registry.silentHosts.get()
+		case <-silentChanged:
+			update = heartbeat()
 		case update = <-merged:
 			if update == nil {
 				return status.Error(codes.Unavailable, "this host does not read the store any more")
 			}
 		case <-ticker.C:
+			update = heartbeat()
 		}
 		if err := stream.Send(update); err != nil {
 			return err
