--- a/edge/client_conn.go
+++ b/edge/client_conn.go
@@ -187,17 +187,17 @@
 
 // evict closes the connection, unless a request has begun to run on it. A body that
 // is being read is answered with status 408, which states that the request has not
-// run.
-func (c *clientConn) evict(answer bool) {
+// run. It returns false if the connection does not give way.
+func (c *clientConn) evict(answer bool) bool {
 	before := c.phase.Load()
 	if before == int32(clients.Running) || before == evictedPhase || !c.phase.CompareAndSwap(before, evictedPhase) {
-		return
+		return false
 	}
-	// The request's own read deadline may replace this one; the connection ends then.
 	if answer && before == int32(clients.Body) && c.SetReadDeadline(time.Now()) == nil {
-		return
+		return true
 	}
 	_ = c.Close()
+	return true
 }
 
 // clientAddress returns the IP address of the other end.
--- a/edge/client_conns.go
+++ b/edge/client_conns.go
@@ -43,9 +43,6 @@
 	// evictionBatch is the fraction of the connections that is closed at once, so
 	// that not every new connection needs a decision.
 	evictionBatch = 1.0 / 32
-	// A reservation waits up to roomWait for the memory of closed connections.
-	roomWait     = 50 * time.Millisecond
-	roomInterval = time.Millisecond
 	// answerStallTimeout closes a connection whose client accepts no byte of an
 	// answer for that long.
 	answerStallTimeout = 30 * time.Second
@@ -65,9 +62,7 @@
 
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
-	// evicting serializes decisions, so that two do not close connections for the
-	// same shortage.
-	evicting sync.Mutex
+	room  roomMaker
 }
 
 func newClientConns(port string, limit int, memory *platform.Memory, maxHeadBytes func() int64, log *clientLog) *clientConns {
@@ -75,7 +70,8 @@
 		port: port, limit: max(limit, minConnections), memory: memory, maxHeadBytes: maxHeadBytes,
 		eviction: clients.Eviction{StallTime: stallTime}, log: log, conns: map[*clientConn]struct{}{},
 	}
-	memory.MakeRoom = c.makeRoom
+	c.room = roomMaker{used: memory.Used, evict: c.evictForMemory, wait: roomWait, closing: map[*clientConn]closing{}}
+	memory.MakeRoom = c.room.make
 	return c
 }
 
@@ -158,27 +154,18 @@
 	l.log.count("connections_full", l.port, len(chosen))
 }
 
-// makeRoom closes connections that hold the given number of bytes, and waits a
-// short time until their memory is released. It returns false if none may be closed.
-func (l *clientConns) makeRoom(bytes int64) bool {
-	used := l.memory.Used()
-	l.evicting.Lock()
-	defer l.evicting.Unlock()
-	if l.memory.Used() <= used-bytes {
-		return true // released for another reservation, or by the end of a request
-	}
+// evictForMemory closes connections that hold the given number of bytes, and returns them
+// with what each held.
+func (l *clientConns) evictForMemory(bytes int64) map[*clientConn]int64 {
 	conns, states := l.snapshot()
-	chosen := l.eviction.ForMemory(time.Now(), states, bytes)
-	for _, at := range chosen {
-		conns[at].evict(true)
-	}
-	l.log.count("memory_full", l.port, len(chosen))
-	for end := time.Now().Add(roomWait); len(chosen) > 0 && time.Now().Before(end); time.Sleep(roomInterval) {
-		if l.memory.Used() <= used-bytes {
-			break
+	evicted := map[*clientConn]int64{}
+	for _, at := range l.eviction.ForMemory(time.Now(), states, bytes) {
+		if conns[at].evict(true) {
+			evicted[conns[at]] = states[at].Bytes
 		}
 	}
-	return len(chosen) > 0
+	l.log.count("memory_full", l.port, len(evicted))
+	return evicted
 }
 
 // refused counts a head that was refused with a status.
@@ -254,6 +241,12 @@
 	return true
 }
 
+// givesWay reports whether the connection of a request gives way to others.
+func givesWay(ctx context.Context) bool {
+	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	return ok && c.phase.Load() == evictedPhase
+}
+
 // holdAnswer charges the account with an answer that the client has yet to read.
 // An answer is never refused for lack of memory; new requests are.
 func holdAnswer(ctx context.Context, memory *platform.Memory, size int) (release func()) {
--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -201,6 +201,9 @@
 	if err := control.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return platform.CallerRequest{}, &platform.ReadError{Status: http.StatusServiceUnavailable, Cause: err}
 	}
+	if givesWay(r.Context()) { // the deadline has replaced that of the eviction
+		return platform.CallerRequest{}, &platform.ReadError{Status: http.StatusRequestTimeout, Cause: errGivesWay}
+	}
 	request, readErr := platform.ReadRequest(r, limits)
 	if readErr != nil {
 		return request, readErr
