Domains that are out of service stay out when a core is replaced

Servers saw (in the test): 15 of 24 requests went to a failure domain that is out of service, since the new core had read the upstreams and not the domains yet. Cause: the feeds are delivered to a new core one after the other, in no order. Change: the successor begins with the domains that were out. Evidence: TestDomainsStayOutWhenTheCoreIsReplaced fails without it.

--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -352,3 +352,22 @@
 		}
 	}
 }
+
+// TestDomainsStayOutWhenTheCoreIsReplaced guards against sends to a failure domain that is out
+// of service, when the new core has read the upstreams and not the domains yet.
+func TestDomainsStayOutWhenTheCoreIsReplaced(t *testing.T) {
+	f := newFlip(t, scatter.Service{ID: "files", Connections: 96}, pair("files")...)
+	f.r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{"d1": true}})
+	f.r.engine = f.r.engine.Successor()
+	f.configure(f.services)
+	f.r.step(scatter.UpstreamsListed{Upstreams: f.upstreams})
+	f.burst(2)
+	if n := f.r.sentTo("files-a"); n > 0 || f.r.sentTo("files-b") == 0 {
+		t.Errorf("%d of %d requests went to the domain that is out", n, len(f.r.sends))
+	}
+	f.r.step(scatter.DomainsOut{})
+	f.burst(2)
+	if f.r.sentTo("files-a") == 0 {
+		t.Error("the domain is not used after it is back")
+	}
+}
--- a/core/scatter/successor.go
+++ b/core/scatter/successor.go
@@ -18,6 +18,7 @@
 	next.stats = e.stats
 	// What a restored store lacks stays in force until the end of the grace period.
 	next.domainsOut, next.hosts = e.domainsOut, e.hosts
+	next.directory.domainsOut = e.directory.domainsOut // the new core may list upstreams first
 	next.at(next.domainsOut.until, func(now time.Time) { next.setDomains(next.domainsOut.inForce(now)) })
 	next.at(next.directory.restored.until, func(now time.Time) { next.directory.acceptHeld(now, next.noteUpstream) })
 	next.at(next.hosts.until, next.applyHosts)
