--- a/edge/command/command.go
+++ b/edge/command/command.go
@@ -129,9 +129,9 @@
 	return host.Run(ctx)
 }
 
-// reload reads the platform's settings again after each signal, until the process ends.
-func reload(signals <-chan os.Signal, path string, host *edge.Host) {
-	for range signals {
+// reload reads the platform's settings again after each request, until the process ends.
+func reload(requests <-chan os.Signal, path string, host *edge.Host) {
+	for range requests {
 		platformSettings, err := platform.ReadSettings(path)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "reload:", err)
