Tests of signals: each process has a loopback IP of its own

The test reserved ports on 127.0.0.1, which is also the source of connections of the other tests; one of them took the port before the process listened on it. As in the tests of edge and the soak, each process now has an IP that is the source of no connection. The checks are the same. Three runs of the package pass.

--- a/edge/command/signals_test.go
+++ b/edge/command/signals_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -31,13 +32,13 @@
 
 // process is a host that runs in a process of its own, with a store and an upstream.
 type process struct {
-	t                            *testing.T
-	callers, readiness, settings string
-	upstream                     *serverstub.Server
-	command                      *exec.Cmd
-	log                          bytes.Buffer
-	logDone                      chan struct{} // closed when the log is complete
-	logReader                    io.Closer
+	t                                *testing.T
+	ip, callers, readiness, settings string
+	upstream                         *serverstub.Server
+	command                          *exec.Cmd
+	log                              bytes.Buffer
+	logDone                          chan struct{} // closed when the log is complete
+	logReader                        io.Closer
 }
 
 // newProcess prepares a process that start starts.
@@ -69,31 +70,39 @@
 		"services": []any{map[string]any{"name": "orders", "health_path": "/healthz", "max_connections": 96}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 10000, "idle_timeout_ms": 60000},
 	})
-	addresses := freeAddresses(t, 3)
-	p := &process{t: t, callers: addresses[0], readiness: addresses[1], upstream: upstream, settings: filepath.Join(t.TempDir(), "host.conf")}
+	ip, addresses := freeAddresses(t, 3)
+	p := &process{t: t, ip: ip, callers: addresses[0], readiness: addresses[1], upstream: upstream, settings: filepath.Join(t.TempDir(), "host.conf")}
 	p.command = exec.Command(os.Args[0], "run")
 	p.command.Env = append(os.Environ(), runsCommand+"=1", "SAMPHIREBEAM_BOOT="+p.settings)
 	p.writeSettings(p.settings, addresses[2], strings.TrimPrefix(storeServer.URL, "http://"))
 	return p
 }
 
-func freeAddresses(t *testing.T, count int) (addresses []string) {
+// hostAddresses counts the calls of freeAddresses.
+var hostAddresses atomic.Uint32
+
+// freeAddresses returns a loopback IP that is unique to the test process and the call, and
+// free addresses on it. No connection has it as its source, so the ports stay free until the
+// process under test listens on them.
+func freeAddresses(t *testing.T, count int) (ip string, addresses []string) {
 	t.Helper()
+	tests, n := os.Getpid(), hostAddresses.Add(1)
+	ip = fmt.Sprintf("127.%d.%d.%d", 128+tests>>8%64, tests%256, 1+n%250)
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
 	}
-	return addresses
+	return ip, addresses
 }
 
 func (p *process) writeSettings(path, control, store string) {
 	p.t.Helper()
 	text := strings.Join([]string{
-		"node_name=host-1", "zone=d1", "ip=127.0.0.1", "listen_addrs.front=" + p.callers, "listen_addrs.ready=" + p.readiness,
+		"node_name=host-1", "zone=d1", "ip=" + p.ip, "listen_addrs.front=" + p.callers, "listen_addrs.ready=" + p.readiness,
 		"listen_addrs.control=" + control, "platform.address=" + store, "limits.cpu_share=1", "limits.cores=1", "limits.memory_mb=284",
 		"limits.max_fds=4100", "bounds.contact_ms=1000", "bounds.grace_s=6", "bounds.retry_budget_ratio=0.2",
 		"bounds.retry_slack=56", "bounds.retry_window_s=10",
