--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"time"
 )
 
@@ -110,13 +109,9 @@
 	return &consumer{to: to, client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true}}}
 }
 
-// ask sends one request; deadline is the Deadline-Ms header, empty for none.
-func (c *consumer) ask(method, path, id, deadline, body string) answer {
-	var reader io.Reader
-	if body != "" {
-		reader = strings.NewReader(body)
-	}
-	request, err := http.NewRequest(method, "http://"+c.to.front+path, reader)
+// ask sends one request without a body; deadline is its Deadline-Ms.
+func (c *consumer) ask(path, id, deadline string) answer {
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.to.front+path, nil)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -124,9 +119,7 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { a.sent = time.Now() }}))
 	request.Host = hostName
 	request.Header.Set("Request-Id", id)
-	if deadline != "" {
-		request.Header.Set("Deadline-Ms", deadline)
-	}
+	request.Header.Set("Deadline-Ms", deadline)
 	response, err := c.client.Do(request)
 	a.done = time.Now()
 	if err != nil {
--- a/review/lab3/memory.go
+++ b/review/lab3/memory.go
@@ -67,7 +67,7 @@
 	for c := range 4 {
 		repeat(40*time.Millisecond, func(client *consumer, i int) {
 			ordinary.Add(1)
-			if a := client.ask("GET", "/lookup/x", fmt.Sprintf("o%d-%d", c, i), "6000", ""); a.status == 200 {
+			if a := client.ask("/lookup/x", fmt.Sprintf("o%d-%d", c, i), "6000"); a.status == 200 {
 				served.Add(1)
 			}
 		})
@@ -77,7 +77,7 @@
 		for c := range crowdConnections {
 			repeat(crowdInterval, func(client *consumer, i int) {
 				sent.Add(1)
-				if a := client.ask("GET", path, fmt.Sprintf("c%d-%d", c, i), crowdDeadline, ""); a.status == 404 {
+				if a := client.ask(path, fmt.Sprintf("c%d-%d", c, i), crowdDeadline); a.status == 404 {
 					answered.Add(1)
 				}
 			})
--- a/review/lab3/stale.go
+++ b/review/lab3/stale.go
@@ -68,7 +68,7 @@
 				case <-time.After(20 * time.Millisecond):
 				}
 				id := fmt.Sprintf("c%d-%d", c, i)
-				a := client.ask("GET", "/lookup/x", id, "6000", "")
+				a := client.ask("/lookup/x", id, "6000")
 				mu.Lock()
 				answers[id] = a
 				mu.Unlock()
