review: case 14, a request that crashes servers and whose caller leaves, at a service that is little used

Cause: an attempt that is cancelled since its caller left is held against the request only if the same machine fails to connect to the same server before the request's deadline (core/scatter/abandoned.go, attempt.go); the server's new boot is no evidence.

Seen: one such request in 2.5 s crashes server after server; it is quarantined late or not at all.

--- a/review/lab3/turns.go
+++ b/review/lab3/turns.go
@@ -44,6 +44,8 @@
 	l     *lab
 	place int
 	boot  int
+	// deadly, if set, is told of the requests that crash the server.
+	deadly *deadly
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -105,6 +107,9 @@
 		}
 		slots <- struct{}{}
 		defer func() { <-slots }()
+		if s.deadly.run(s, r.URL.Path) {
+			return
+		}
 		work := min(960, 160*math.Exp(0.5*rand.NormFloat64()-0.125))
 		select {
 		case <-time.After(time.Duration(work * float64(time.Millisecond))):
@@ -116,9 +121,14 @@
 	})
 }
 
-// crash resets all connections and closes the port; the entry expires later.
-func (s *turnServer) crash() {
+// crash resets all connections and closes the port; the entry expires later. It returns false
+// if the server is down already.
+func (s *turnServer) crash() bool {
 	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return false
+	}
 	s.down = true
 	id, server, conns := s.id(), s.http, s.conns
 	s.conns = map[net.Conn]bool{}
@@ -135,6 +145,7 @@
 			s.l.note("%s is not back: %v", id, err)
 		}
 	})
+	return true
 }
 
 // turnsScenario: many callers ask one question, which all servers answer well. The servers of
