Quarantine: answers at other hosts, and before a crash, speak for a question

Callers saw: a sound question that many ask is refused for minutes because its upstreams crash by themselves, by turns, while half of its callers leave.

Cause: a crash counts as the next one of a chain if the host that finds it had no answer to the question since the crash before was reported. That report takes up to a second, so a host that is asked a few times a second often has none, while others had many. Nothing told it so, and its finding then counts at all hosts, none of which sends the question again.

Change: an answer to a suspected question voids the crashes that its host knows of at all hosts ("survived" in its stored record). A question that a host has answered during the last 15 to 30 s is quarantined by the fourth crash of a chain instead of the second, also at hosts that are told so ("answered"). A request that crashes upstreams gets no answer, so for it nothing changes; one that begins to do so takes two more with it, at most.

Older builds ignore the new fields.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -98,7 +98,7 @@
 		p.executed = true
 	}
 	if r.Outcome == Succeeded || r.Outcome == Failed {
-		if e.quarantine.clear(c.request.Fingerprint) {
+		if e.quarantine.clear(now, c.request.Fingerprint) {
 			e.publishSuspects(now, false)
 		}
 	}
@@ -218,7 +218,7 @@
 	if c.request.Repeat {
 		maxRuns = 1
 	}
-	if e.quarantine.crashCount(c.request.Fingerprint) >= quarantineAfter {
+	if e.quarantine.exceedsLimit(c.request.Fingerprint) {
 		return false
 	}
 	if c.route.IsGather() && e.quarantine.crashedMost(c.request.Fingerprint, len(c.parts), c.request.At) {
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -177,6 +177,10 @@
 type Suspect struct {
 	Fingerprint core.Fingerprint
 	Ended       []Crash
+	// Survived lists crashes that other hosts report and after which the host had an
+	// answer to such a request. Answered is true if it had one shortly before a crash.
+	Survived []UpstreamStart
+	Answered bool
 }
 
 // Crash is the crash of an upstream that ran a request.
@@ -192,7 +196,8 @@
 func (c Crash) compare(other Crash) int { return c.UpstreamStart.compare(other.UpstreamStart) }
 
 func (s Suspect) equal(other Suspect) bool {
-	return s.Fingerprint == other.Fingerprint && slices.Equal(s.Ended, other.Ended)
+	return s.Fingerprint == other.Fingerprint && slices.Equal(s.Ended, other.Ended) &&
+		slices.Equal(s.Survived, other.Survived) && s.Answered == other.Answered
 }
 
 // SuspectsSeen lists the findings of all hosts, including this one. It replaces
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -14,9 +14,12 @@
 	// quarantineAfter is how many upstreams have to crash one after the other before
 	// a fingerprint is quarantined. The quarantine lasts quarantinePeriod, plus as
 	// long again for each further crash, up to maxQuarantine.
-	quarantineAfter  = 2
-	quarantinePeriod = 5 * time.Minute
-	maxQuarantine    = time.Hour
+	quarantineAfter = 2
+	// quarantineAnsweredAfter is the same for a request that some upstream has answered
+	// recently, so that the crashes are probably not its fault.
+	quarantineAnsweredAfter = 4
+	quarantinePeriod        = 5 * time.Minute
+	maxQuarantine           = time.Hour
 	// crashSpread is the time within which upstreams crash that have a common cause,
 	// for instance a rack that loses power.
 	crashSpread = 200 * time.Millisecond
@@ -62,6 +65,7 @@
 	losses   map[UpstreamStart]*upstreamLosses
 	// abandoned holds the attempts that were cancelled because their callers left.
 	abandoned map[core.Fingerprint][]abandonedAttempt
+	answers   recentAnswers
 	// listed is true once this host has read the stored findings. Before, it
 	// would overwrite its own record without having read it.
 	listed     bool
@@ -81,6 +85,9 @@
 	crashedTogether []UpstreamStart
 	// answered is true if this host has had an answer since the newest crash.
 	answered bool
+	// answeredHere is true if this host had an answer shortly before a crash, and
+	// answeredBefore if any host had.
+	answeredHere, answeredBefore bool
 }
 
 // crash is the crash of an upstream that ran a request.
@@ -89,7 +96,7 @@
 	at       time.Time // when this host lost the answer or received the report
 	seenHere bool      // found by this host
 	reported bool      // by another host
-	// survived is true once an upstream has answered such a request here since, so that
+	// survived is true once an upstream has answered such a request since, so that
 	// the request cannot have been the cause. The report of another host may remain.
 	survived bool
 }
@@ -197,6 +204,14 @@
 	return highest
 }
 
+// limit returns how many crashes put the fingerprint in quarantine.
+func (s *suspectFingerprint) limit() int {
+	if s.answeredBefore {
+		return quarantineAnsweredAfter
+	}
+	return quarantineAfter
+}
+
 // ownCount returns how many of the crashes that this host found count.
 func (s *suspectFingerprint) ownCount() (highest int) {
 	for _, c := range s.crashes {
@@ -235,7 +250,10 @@
 // add records a crash, which this host noticed at the time at, and returns the finding
 // if the crash was not known.
 func (q *quarantine) add(at, now time.Time, s *suspectFingerprint, fingerprint core.Fingerprint, c Crash, by core.HostID) []finding {
-	before := s.count()
+	if q.answers.contains(now, fingerprint) {
+		s.answeredHere, s.answeredBefore = true, true
+	}
+	before, limit := s.count(), s.limit()
 	e, known := s.crashes[c.UpstreamStart]
 	if !known {
 		e = &crash{at: at}
@@ -248,7 +266,7 @@
 	if known && after == before {
 		return nil
 	}
-	return []finding{{fingerprint, c, after, before < quarantineAfter && after >= quarantineAfter, by}}
+	return []finding{{fingerprint, c, after, before < limit && after >= limit, by}}
 }
 
 // adopt makes the findings of other hosts this host's own where they are enough for a
@@ -291,6 +309,7 @@
 			}
 		}
 	}
+	q.mergeAnswers(byHost)
 	if !q.listed {
 		q.listed, q.published = true, byHost[q.self]
 	}
@@ -298,18 +317,37 @@
 	return found
 }
 
+// mergeAnswers voids the crashes after which other hosts had an answer.
+func (q *quarantine) mergeAnswers(byHost map[core.HostID][]Suspect) {
+	for by, suspects := range byHost {
+		for _, suspect := range suspects {
+			s := q.suspects[suspect.Fingerprint]
+			if s == nil || by == q.self {
+				continue
+			}
+			s.answeredBefore = s.answeredBefore || suspect.Answered
+			for _, start := range suspect.Survived {
+				if e := s.crashes[start]; e != nil {
+					e.seenHere, e.survived = false, true
+				}
+			}
+		}
+	}
+}
+
 // clear removes this host's own findings against a fingerprint, after an upstream
 // has answered such a request and thus survived it. Those of other hosts no longer
-// count here.
-func (q *quarantine) clear(fingerprint core.Fingerprint) (changed bool) {
+// count.
+func (q *quarantine) clear(now time.Time, fingerprint core.Fingerprint) (changed bool) {
 	delete(q.abandoned, fingerprint)
+	q.answers.add(now, fingerprint)
 	s := q.suspects[fingerprint]
 	if s == nil {
 		return false
 	}
 	s.answered = true
 	for _, e := range s.crashes {
-		changed = changed || e.seenHere
+		changed = changed || e.seenHere || !e.survived
 		e.seenHere, e.survived = false, true
 	}
 	q.drop(func(e *crash) bool { return !e.seenHere && !e.reported })
@@ -321,7 +359,7 @@
 func (q *quarantine) sweep(now time.Time) (remaining bool) {
 	for _, s := range q.suspects {
 		keep := suspicionTTL
-		if s.count() >= quarantineAfter {
+		if s.count() >= s.limit() {
 			keep = quarantineTTL
 		}
 		for _, e := range s.crashes {
@@ -351,6 +389,13 @@
 	return s.count()
 }
 
+// exceedsLimit reports whether the crashes that count against a fingerprint are enough for
+// a quarantine.
+func (q *quarantine) exceedsLimit(fingerprint core.Fingerprint) bool {
+	s := q.suspects[fingerprint]
+	return s != nil && s.count() >= s.limit()
+}
+
 // crashedMost reports whether most upstreams of a gather with the given number of parts
 // have crashed together since it arrived.
 func (q *quarantine) crashedMost(fingerprint core.Fingerprint, parts int, arrived time.Time) bool {
@@ -369,11 +414,11 @@
 // until returns the end of the quarantine of a fingerprint, and whether it is in
 // force.
 func (q *quarantine) until(now time.Time, fingerprint core.Fingerprint) (end time.Time, quarantined bool) {
-	count := q.crashCount(fingerprint)
-	if count < quarantineAfter {
+	s := q.suspects[fingerprint]
+	if s == nil || s.count() < s.limit() {
 		return time.Time{}, false
 	}
-	end = q.suspects[fingerprint].last.Add(min(maxQuarantine, time.Duration(count-1)*quarantinePeriod))
+	end = s.last.Add(min(maxQuarantine, time.Duration(1+s.count()-s.limit())*quarantinePeriod))
 	return end, now.Before(end)
 }
 
@@ -387,9 +432,14 @@
 			if e.seenHere {
 				suspect.Ended = append(suspect.Ended, Crash{at, e.order})
 			}
+			if e.reported && e.survived {
+				suspect.Survived = append(suspect.Survived, at)
+			}
 		}
-		if len(suspect.Ended) > 0 {
+		suspect.Answered = s.answeredHere && s.count() > 0
+		if len(suspect.Ended) > 0 || len(suspect.Survived) > 0 || suspect.Answered {
 			slices.SortFunc(suspect.Ended, Crash.compare)
+			slices.SortFunc(suspect.Survived, UpstreamStart.compare)
 			all = append(all, suspect)
 		}
 	}
--- a/core/scatter/quarantine_tier_test.go
+++ b/core/scatter/quarantine_tier_test.go
@@ -23,21 +23,51 @@
 	later         schedule.Timers[func()]
 	stored        map[core.HostID][]scatter.Suspect
 	maxStoreDelay time.Duration // until a host receives what is stored
-	starts        map[core.UpstreamID]int64
-	downUntil     map[core.UpstreamID]time.Time
+	servers       []*tierServer
+	kind          crashKind
+	work          time.Duration // of the request that crashes upstreams
+	leaves        time.Duration // after which a caller leaves, if set
+	calm          bool          // callers that ask this time do not leave
+	arrived       []time.Time   // requests that crash upstreams
 	crashed       []time.Time
 	// If crashAt is set, the request is sound, and each upstream crashes at that time.
 	crashAt  map[core.UpstreamID]time.Time
 	answered map[scatter.AnswerKind]int
 }
 
-func newQuarantineTier(seed uint64) *quarantineTier {
+// tierServer is a place where one start of an upstream follows on another.
+type tierServer struct {
+	scatter.Upstream
+	boots     int
+	downUntil time.Time
+	// expired are entries of earlier starts that are still listed.
+	stale []scatter.Upstream
+}
+
+// crashKind is how upstreams crash and come back.
+type crashKind int
+
+const (
+	portCloses crashKind = iota // connections are refused while it is down
+	backAtOnce                  // it accepts connections again at once
+	newID                       // as before, as another upstream at the same address
+	goesSilent                  // it neither answers nor refuses for two seconds
+	expires                     // its port stays closed, it is back at another address
+)
+
+var crashKinds = map[string]crashKind{"port closes": portCloses, "back at once": backAtOnce, "new ID": newID, "silent": goesSilent, "expires": expires}
+
+func newQuarantineTier(seed uint64) *quarantineTier { return newQuarantineTierOf(seed, 6) }
+
+func newQuarantineTierOf(seed uint64, servers int) *quarantineTier {
 	s := &quarantineTier{
 		now: epoch, random: rand.New(rand.NewPCG(seed, 1)), hosts: make([]*scatter.Engine, 8), stored: map[core.HostID][]scatter.Suspect{},
-		maxStoreDelay: time.Second, starts: map[core.UpstreamID]int64{}, downUntil: map[core.UpstreamID]time.Time{}, answered: map[scatter.AnswerKind]int{},
+		maxStoreDelay: time.Second, answered: map[scatter.AnswerKind]int{},
 	}
-	for n := range 6 {
-		s.starts[core.UpstreamID(fmt.Sprint("u-", n))] = 1
+	for n := range servers {
+		s.servers = append(s.servers, &tierServer{boots: 1, Upstream: scatter.Upstream{
+			ID: core.UpstreamID(fmt.Sprint("u-", n)), Service: "files", Domain: "d1", Address: fmt.Sprintf("10.0.0.%d:1", n), Slots: 6, Started: 1,
+		}})
 	}
 	for n := range s.hosts {
 		s.start(n)
@@ -71,13 +101,31 @@
 }
 
 func (s *quarantineTier) upstreams() (all []scatter.Upstream) {
-	for id, started := range s.starts {
-		all = append(all, scatter.Upstream{ID: id, Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 6, Started: started})
+	for _, server := range s.servers {
+		all = append(append(all, server.Upstream), server.stale...)
 	}
 	slices.SortFunc(all, func(a, b scatter.Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
+// serverOf returns the server at an address, which may be another one than the upstream
+// that had it.
+func (s *quarantineTier) serverOf(u scatter.Upstream) *tierServer {
+	for _, server := range s.servers {
+		if server.Address == u.Address {
+			return server
+		}
+	}
+	return nil
+}
+
+// announce passes the list of the upstreams to all hosts.
+func (s *quarantineTier) announce() {
+	for _, e := range s.hosts {
+		s.step(e, scatter.UpstreamsListed{Upstreams: s.upstreams()})
+	}
+}
+
 // deliver passes the stored findings to a host after a random delay.
 func (s *quarantineTier) deliver(e *scatter.Engine, n int) {
 	s.later.Add(s.now.Add(time.Duration(s.random.Int64N(int64(s.maxStoreDelay)))), func() {
@@ -94,16 +142,23 @@
 		after, outcome := s.serve(send)
 		s.later.Add(s.now.Add(after), func() { s.step(e, scatter.AttemptEnded{Attempt: send.Attempt, Outcome: outcome}) })
 	}
+	for _, c := range out.Cancels {
+		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.AttemptEnded{Attempt: c.Attempt, Outcome: scatter.Lost}) })
+	}
 	for _, a := range out.Answers {
 		s.answered[a.Kind]++
 	}
 	for _, check := range out.Checks {
 		u := check.Target
-		result := scatter.UpstreamListens
-		if s.now.Before(s.downUntil[u.ID]) {
+		result, after := scatter.UpstreamListens, ms
+		switch server := s.serverOf(u); {
+		case server != nil && !s.now.Before(server.downUntil):
+		case server != nil && s.kind == goesSilent:
+			result, after = scatter.CheckFailed, 300*ms
+		default:
 			result = scatter.UpstreamRefuses
 		}
-		s.later.Add(s.now.Add(ms), func() { s.step(e, scatter.UpstreamChecked{Upstream: u.Start(), Result: result, Round: check.Round}) })
+		s.later.Add(s.now.Add(after), func() { s.step(e, scatter.UpstreamChecked{Upstream: u.Start(), Result: result, Round: check.Round}) })
 	}
 	if out.Suspects != nil {
 		n := slices.Index(s.hosts, e)
@@ -117,37 +172,82 @@
 // serve returns how an upstream serves a request, and after what time.
 func (s *quarantineTier) serve(send scatter.Send) (time.Duration, scatter.Outcome) {
 	const work = 160 * ms // of a sound request
-	id := send.Target.ID
-	crashAt := s.crashAt[id]
+	server := s.serverOf(send.Target)
 	switch {
-	case s.now.Before(s.downUntil[id]) || send.Target.Started != s.starts[id]:
+	case server != nil && s.now.Before(server.downUntil) && s.kind == goesSilent:
+		return 500 * ms, scatter.Unreached
+	case server == nil || s.now.Before(server.downUntil):
 		return ms, scatter.Unreached
+	case send.Target.ID != server.ID:
+		return ms, scatter.WrongInstance
 	case s.crashAt == nil:
-		s.crash(id, time.Second)
-		return ms, scatter.Lost
-	case crashAt.After(s.now) && !s.now.Add(work).Before(crashAt):
+		start := server.boots
+		s.arrived = append(s.arrived, s.now)
+		s.later.Add(s.now.Add(s.work), func() {
+			if server.boots == start && !s.now.Before(server.downUntil) {
+				s.crash(server, time.Second)
+			}
+		})
+		if s.kind == goesSilent {
+			return s.work + 2*time.Second, scatter.Lost
+		}
+		return s.work + ms, scatter.Lost
+	}
+	crashAt := s.crashAt[send.Target.ID]
+	if crashAt.After(s.now) && !s.now.Add(work).Before(crashAt) {
 		return crashAt.Sub(s.now), scatter.Lost
-	default:
-		return work, scatter.Succeeded
 	}
+	return work, scatter.Succeeded
 }
 
-// ask sends the request to a random host.
-func (s *quarantineTier) ask(call core.CallID) {
-	n := s.random.IntN(len(s.hosts))
+// ask sends the request to a random host, and returns which.
+func (s *quarantineTier) ask(call core.CallID) (n int) {
+	n = s.random.IntN(len(s.hosts))
+	if s.leaves > 0 && !s.calm {
+		e := s.hosts[n]
+		s.later.Add(s.now.Add(s.leaves), func() { s.step(e, scatter.CallerGone{Call: call}) })
+	}
 	s.step(s.hosts[n], scatter.RequestArrived{Call: call, RequestID: fmt.Sprint(call), Host: "h.example", Path: fetchPath, At: s.now, Budget: time.Second, Fingerprint: crashingRequest})
+	return n
 }
 
-// crash crashes an upstream, which restarts after a while.
-func (s *quarantineTier) crash(id core.UpstreamID, downFor time.Duration) {
+// crash crashes an upstream, which is back after a while as its kind of crash says.
+func (s *quarantineTier) crash(server *tierServer, downFor time.Duration) {
 	s.crashed = append(s.crashed, s.now)
-	s.downUntil[id] = s.now.Add(downFor)
-	s.later.Add(s.downUntil[id], func() {
-		s.starts[id]++
-		for _, e := range s.hosts {
-			s.step(e, scatter.UpstreamsListed{Upstreams: s.upstreams()})
+	const expiry = 3600 * ms // of an entry
+	switch s.kind {
+	case backAtOnce, newID:
+		downFor = 0
+	case goesSilent:
+		downFor = 2 * time.Second
+	case expires:
+		downFor = 4500 * ms
+	case portCloses:
+	}
+	old := server.Upstream
+	server.downUntil = s.now.Add(downFor)
+	s.later.Add(server.downUntil, func() {
+		server.boots++
+		if s.kind == newID || s.kind == expires {
+			server.ID = core.UpstreamID(fmt.Sprintf("u-%d-%d", slices.Index(s.servers, server), server.boots))
+		}
+		if s.kind == expires {
+			server.Address = fmt.Sprintf("10.0.%d.%d:1", server.boots, slices.Index(s.servers, server))
 		}
 	})
+	s.later.Add(server.downUntil.Add(200*ms), func() {
+		server.Started++
+		if s.kind == newID {
+			server.stale = append(server.stale, old)
+		}
+		s.announce()
+	})
+	if s.kind == newID {
+		s.later.Add(s.now.Add(expiry), func() {
+			server.stale = slices.DeleteFunc(server.stale, func(u scatter.Upstream) bool { return u.ID == old.ID })
+			s.announce()
+		})
+	}
 }
 
 func (s *quarantineTier) run(d time.Duration) {
@@ -219,10 +319,10 @@
 	for seed := range uint64(40) {
 		s := newQuarantineTier(seed)
 		s.crashAt = map[core.UpstreamID]time.Time{}
-		for _, u := range s.upstreams() {
+		for _, u := range s.servers {
 			at := s.now.Add(5*time.Second + time.Duration(s.random.Int64N(int64(50*ms))))
 			s.crashAt[u.ID] = at
-			s.later.Add(at, func() { s.crash(u.ID, 4500*ms) })
+			s.later.Add(at, func() { s.crash(u, 4500*ms) })
 		}
 		call := core.CallID(0)
 		askFor := func(d time.Duration) {
@@ -245,15 +345,15 @@
 			}
 		}
 		askFor(12 * time.Second)
-		if len(s.crashed) != len(s.starts) {
+		if len(s.crashed) != len(s.servers) {
 			t.Fatalf("seed %d: %d upstreams crashed", seed, len(s.crashed))
 		}
 		checkServed("after the upstreams are back")
 		if seed%2 == 0 { // they crash once more
-			for _, u := range s.upstreams() {
+			for _, u := range s.servers {
 				at := s.now.Add(2*time.Second + time.Duration(s.random.Int64N(int64(50*ms))))
 				s.crashAt[u.ID] = at
-				s.later.Add(at, func() { s.crash(u.ID, 4500*ms) })
+				s.later.Add(at, func() { s.crash(u, 4500*ms) })
 			}
 			askFor(8 * time.Second)
 			checkServed("after they crashed twice")
--- a/core/scatter/relay_test.go
+++ b/core/scatter/relay_test.go
@@ -35,7 +35,7 @@
 	for _, id := range ids {
 		service, _, _ := strings.Cut(string(id), "-")
 		r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{
-			ID: id, Service: core.ServiceID(service), Domain: "d1", Address: "10.0.0.1:1", Slots: 2, Draining: true,
+			ID: id, Service: core.ServiceID(service), Domain: "d1", Address: "host-of-" + string(id) + ":1", Slots: 2, Draining: true,
 		}})
 	}
 }
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -270,7 +270,7 @@
 func pair(service core.ServiceID) []scatter.Upstream {
 	one := func(suffix string, domain core.DomainID) scatter.Upstream {
 		id := core.UpstreamID(string(service) + "-" + suffix)
-		return scatter.Upstream{ID: id, Service: service, Domain: domain, Address: "10.0.0.1:1", Slots: 2}
+		return scatter.Upstream{ID: id, Service: service, Domain: domain, Address: "host-of-" + string(id) + ":1", Slots: 2}
 	}
 	return []scatter.Upstream{one("a", "d1"), one("b", "d2")}
 }
