Quarantine: the crash of an upstream is found without other work for it

Cause: a host looked at an upstream whose answer it no longer expected only when another request of its own failed there before the deadline. Class: a crash becomes known only if other work happens to meet it. It holds for each path (a call, a request taken over, a part whose relay fails, a hedge, a retry), for attempts that ended in any way without an answer (caller left, answer lost while the upstream still listened, deadline passed), and for each way in which a host could know.

Ruled out: the host does not record the attempt (it does, and drops it at the deadline); the fingerprint differs (with a caller that stays it is quarantined).

Change: an attempt that ended without an answer and may still run is open (open_attempts.go). Evidence that its upstream ended (crash_evidence.go): a refused connection when it is checked, at growing intervals and only if nothing else is heard of it; a newer start, or a newer upstream at its address, in the registry; its removed entry, if it refuses connections right then; the finding of another host. An upstream that drains, leaves, is in a domain taken out or still serves after its entry is gone has stopped as planned, which is no evidence; this now holds for lost answers too.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -35,6 +35,10 @@
 	a.notRun = r.Outcome.SurelyNotRun()
 	if r.Outcome.Answered() {
 		e.recordDomainAlive(now, u.Domain)
+		e.quarantine.open.heard(now, u.Start())
+	}
+	if a.cancelled {
+		e.endOpen(a, r.Outcome)
 	}
 	e.observeConnectivity(now, a, r.Outcome)
 	e.countLimitedSend(a)
@@ -103,7 +107,11 @@
 		}
 	}
 	if r.RelayFault {
-		return // no evidence about the upstream
+		// No evidence about the upstream, which may run the request all the same.
+		if r.Outcome == Lost && !a.cancelled && !c.hasUpstreamAnswer() {
+			e.keepOpen(now, a, true)
+		}
+		return
 	}
 	switch r.Outcome {
 	case NotRelayed, Withheld:
@@ -132,8 +140,8 @@
 		}
 		u.backOff(now)
 		e.noteSuspect(u, r)
-		if e.quarantine.isAbandonedAt(now, u.Start()) && e.quarantine.startCheck(now, u.Start()) {
-			e.out.Checks = append(e.out.Checks, Check{Target: u.Upstream})
+		if e.quarantine.open.byStart[u.Start()] != nil {
+			e.checkUpstream(now, u.Upstream)
 		}
 	case Lost:
 		e.recordLost(now, a, r, ratio)
@@ -144,7 +152,8 @@
 // cancelled the attempt, since that is no evidence against the upstream. It counts
 // whether or not the caller still waits: a request that must not run twice is not
 // cancelled when its caller disconnects. It does not count against the fingerprint if
-// the deadline has passed or if another upstream has answered.
+// another upstream has answered. At the deadline every answer ends, so that the upstream
+// is not under suspicion for it, but may have crashed before.
 func (e *Engine) recordLost(now time.Time, a *attempt, r AttemptEnded, ratio float64) {
 	u, c := a.to, a.part.call
 	if a.cancelled {
@@ -156,10 +165,11 @@
 		u.backOff(now)
 		e.noteSuspect(u, r)
 	}
-	if !now.Before(c.deadline) || c.hasUpstreamAnswer() {
-		return
-	}
-	if e.quarantine.recordLoss(now, u.Start(), loss{c.request.Fingerprint, len(c.parts), a.sentAt, now}) {
+	switch {
+	case c.hasUpstreamAnswer():
+	case !now.Before(c.deadline):
+		e.keepOpen(now, a, true)
+	case e.quarantine.recordLoss(now, u.Upstream, a.loss(now)):
 		e.out.Checks = append(e.out.Checks, Check{Target: u.Upstream})
 	}
 }
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -540,7 +540,7 @@
 	if !c.route.Repeatable {
 		return
 	}
-	e.recordAbandoned(now, c)
+	e.keepCallOpen(now, c)
 	e.cancelAttempts(c)
 }
 
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -41,6 +41,9 @@
 	// missingSince is when the entry was found missing; zero if it is present.
 	missingSince time.Time
 	removed      bool
+	// withdrawnAt is when the entry was removed while the registry listed all
+	// upstreams; zero if it is present or has been replaced.
+	withdrawnAt time.Time
 	// leaving, withheldUntil and limit come from the upstream's own notices.
 	leaving       bool
 	withheldUntil time.Time
@@ -71,6 +74,7 @@
 type directory struct {
 	byID       map[core.UpstreamID]*upstream
 	byService  map[core.ServiceID][]*upstream // sorted by ID
+	byAddress  map[string]*upstream           // the newest entry of each address
 	domainsOut map[core.DomainID]bool
 	self       core.HostID
 	domain     core.DomainID
@@ -118,6 +122,7 @@
 
 		byID:      map[core.UpstreamID]*upstream{},
 		byService: map[core.ServiceID][]*upstream{},
+		byAddress: map[string]*upstream{},
 		self:      self,
 		domain:    domain,
 		reachable: true,
@@ -137,6 +142,7 @@
 	if u == nil {
 		u = d.attach(now, entry)
 		d.byID[entry.ID] = u
+		d.byAddress[entry.Address] = u
 		list := d.byService[entry.Service]
 		at, _ := slices.BinarySearchFunc(list, u, byID)
 		d.byService[entry.Service] = slices.Insert(list, at, u)
@@ -165,7 +171,7 @@
 		}
 	}
 	u.Upstream = entry
-	u.removed, u.missingSince = false, time.Time{}
+	u.removed, u.missingSince, u.withdrawnAt = false, time.Time{}, time.Time{}
 	u.leaving, u.withheldUntil = known.Leaving, now.Add(known.RetryAfter)
 	if back && u.limit.Stated && known.Limit.Stated {
 		u.limit.RateLimit = known.Limit
@@ -197,6 +203,9 @@
 	u.removed = true
 	d.detached.add(now, noticeKeyOf(u.Upstream), u)
 	delete(d.byID, u.ID)
+	if d.byAddress[u.Address] == u {
+		delete(d.byAddress, u.Address)
+	}
 	list := d.byService[u.Service]
 	if at, found := slices.BinarySearchFunc(list, u, byID); found {
 		d.byService[u.Service] = slices.Delete(list, at, at+1)
@@ -221,6 +230,7 @@
 		d.keepForGrace(now, u)
 		return u, DecisionUpstreamKept
 	}
+	u.withdrawnAt = now
 	d.drop(now, u)
 	return u, DecisionUpstreamRemoved
 }
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -267,7 +267,9 @@
 	case ConfigSeen:
 		e.setConfig(now, event.Config)
 	case UpstreamsListed:
-		e.directory.list(now, event.Upstreams, event.Restored, e.noteUpstream)
+		e.directory.list(now, event.Upstreams, event.Restored, func(u *upstream, decision Decision) { e.checkRemoved(now, u, decision) })
+		e.checkSuccessors(now)
+		e.scheduleOpenScan(now)
 		if e.connectivity.checkWhenListed {
 			e.checkConnectivityOnce(now)
 		}
@@ -279,9 +281,10 @@
 		if decision := e.directory.put(now, event.Upstream); decision != "" {
 			e.noteUpstream(e.directory.byID[event.Upstream.ID], decision)
 		}
+		e.checkSuccessors(now)
 	case UpstreamRemoved:
 		if u, decision := e.directory.remove(now, event.ID); u != nil {
-			e.noteUpstream(u, decision)
+			e.checkRemoved(now, u, decision)
 		}
 		e.startGraceTimer(now)
 	case DomainsOut:
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -63,9 +63,8 @@
 	self     core.HostID
 	suspects map[core.Fingerprint]*suspectFingerprint
 	losses   map[UpstreamStart]*upstreamLosses
-	// abandoned holds the attempts that were cancelled because their callers left.
-	abandoned map[core.Fingerprint][]abandonedAttempt
-	answers   recentAnswers
+	open     openAttempts
+	answers  recentAnswers
 	// listed is true once this host has read the stored findings. Before, it
 	// would overwrite its own record without having read it.
 	listed     bool
@@ -103,6 +102,7 @@
 
 // upstreamLosses are the lost answers of an upstream that is being checked.
 type upstreamLosses struct {
+	target    Upstream
 	checkedAt time.Time // when the check of the upstream began
 	losses    []loss
 }
@@ -112,6 +112,7 @@
 	fingerprint core.Fingerprint
 	parts       int // number of parts of the call
 	sentAt, at  time.Time
+	runsUntil   time.Time // until when the upstream may run the request
 }
 
 // finding is a new crash that counts against a fingerprint.
@@ -128,15 +129,15 @@
 func newQuarantine(self core.HostID) *quarantine {
 	return &quarantine{
 		self: self, suspects: map[core.Fingerprint]*suspectFingerprint{}, losses: map[UpstreamStart]*upstreamLosses{},
-		abandoned: map[core.Fingerprint][]abandonedAttempt{},
+		open: newOpenAttempts(),
 	}
 }
 
 // recordLoss records a lost answer of an upstream, and reports whether a check of
 // the upstream is to be started.
-func (q *quarantine) recordLoss(now time.Time, at UpstreamStart, lost loss) (check bool) {
-	check = q.startCheck(now, at)
-	if l := q.losses[at]; len(l.losses) < maxLosses {
+func (q *quarantine) recordLoss(now time.Time, target Upstream, lost loss) (check bool) {
+	check = q.startCheck(now, target)
+	if l := q.losses[target.Start()]; len(l.losses) < maxLosses {
 		l.losses = append(l.losses, lost)
 	}
 	return check
@@ -144,23 +145,23 @@
 
 // startCheck reports whether a check of an upstream is to be started, unless one is
 // in progress.
-func (q *quarantine) startCheck(now time.Time, at UpstreamStart) bool {
-	if l := q.losses[at]; l != nil && now.Sub(l.checkedAt) <= checkTimeout {
+func (q *quarantine) startCheck(now time.Time, target Upstream) bool {
+	l := q.losses[target.Start()]
+	if l != nil && now.Sub(l.checkedAt) <= checkTimeout {
 		return false
 	}
-	q.losses[at] = &upstreamLosses{checkedAt: now}
+	if l == nil {
+		l = &upstreamLosses{target: target}
+		q.losses[target.Start()] = l
+	}
+	l.checkedAt = now // the losses of a check without a result remain
 	return true
 }
 
-// resolveCheck evaluates the losses of an upstream with the result of its check,
-// and returns the findings.
-func (q *quarantine) resolveCheck(now time.Time, at UpstreamStart, result CheckResult) (found []finding) {
-	checked := q.losses[at]
-	delete(q.losses, at)
-	if checked == nil || result != UpstreamRefuses {
-		return nil
-	}
-	for _, l := range append(checked.losses, q.takeAbandoned(now, at)...) {
+// recordCrash counts the crash of an upstream against the requests that it may have run,
+// which are those of the given losses and the open attempts, and returns the findings.
+func (q *quarantine) recordCrash(now time.Time, at UpstreamStart, losses []loss) (found []finding) {
+	for _, l := range append(losses, q.open.take(now, at)...) {
 		s := q.suspect(l.fingerprint)
 		s.recordLoss(l, at)
 		// One crash of each order is enough: the others add nothing to the count.
@@ -339,7 +340,7 @@
 // has answered such a request and thus survived it. Those of other hosts no longer
 // count.
 func (q *quarantine) clear(now time.Time, fingerprint core.Fingerprint) (changed bool) {
-	delete(q.abandoned, fingerprint)
+	q.open.removeFingerprint(fingerprint)
 	q.answers.add(now, fingerprint)
 	s := q.suspects[fingerprint]
 	if s == nil {
@@ -474,5 +475,6 @@
 func (q *quarantine) forSuccessor() *quarantine {
 	q.publishing, q.sweeping = false, false
 	q.losses = map[UpstreamStart]*upstreamLosses{}
+	q.open.scheduled = false
 	return q
 }
--- a/core/scatter/quarantine_engine.go
+++ b/core/scatter/quarantine_engine.go
@@ -13,13 +13,37 @@
 	e.resolveCheck(now, c.Upstream, c.Result)
 }
 
+// resolveCheck counts the losses of an upstream that refuses connections against their
+// requests. At one that does not, these may still run.
 func (e *Engine) resolveCheck(now time.Time, at UpstreamStart, result CheckResult) {
-	e.reportFindings(now, e.quarantine.resolveCheck(now, at, result))
+	q := e.quarantine
+	checked := q.losses[at]
+	if checked == nil {
+		return
+	}
+	delete(q.losses, at)
+	switch {
+	case result == UpstreamRefuses && e.directory.stopsAsPlanned(now, checked.target):
+		q.open.take(now, at)
+	case result == UpstreamRefuses:
+		e.reportFindings(now, q.recordCrash(now, at, checked.losses))
+	default:
+		for _, l := range checked.losses {
+			e.keepLossOpen(now, checked.target, openAttempt{loss: l}, true)
+		}
+		if result == UpstreamListens {
+			q.open.accepted(now, at)
+		}
+		if result == UpstreamListens && e.directory.isWithdrawn(checked.target) {
+			q.open.take(now, at)
+		}
+	}
 }
 
 // handleSuspects handles the stored findings of all hosts.
 func (e *Engine) handleSuspects(now time.Time, seen SuspectsSeen) {
 	e.reportFindings(now, e.quarantine.merge(now, seen.ByHost, seen.Restored))
+	e.adoptCrashes(now, seen.ByHost)
 	e.publishSuspects(now, false)
 	if seen.Restored {
 		e.sweepSuspects(now)
