Quarantine: a host that stops leaves its open attempts to the others

Callers saw: nothing at once; a request that crashes upstreams some time after its caller left went on doing so where the hosts that sent it stop meanwhile, as in a roll-out.

Cause: open attempts lived in the memory of the host that sent them.

Change: a host that stops publishes its open attempts in its stored record, with the order that a crash would have ("open"). The others, and its next process, adopt them and compare them with the registry; they open no connections for them. A host that is killed cannot do so: that stays open.

--- a/core/scatter/crash_evidence.go
+++ b/core/scatter/crash_evidence.go
@@ -35,6 +35,9 @@
 		e.recordExit(now, target)
 	}
 	e.scheduleOpenScan(now)
+	if q.stopping {
+		e.publishSuspects(now, false)
+	}
 }
 
 // keepCallOpen records the running attempts of a call whose caller has left.
--- a/core/scatter/crash_evidence_test.go
+++ b/core/scatter/crash_evidence_test.go
@@ -201,3 +201,27 @@
 		}
 	}
 }
+
+// TestTierFindsCrashesOfStoppedHosts guards against a request that crashes upstreams without
+// end because each host that sends it stops before the crash.
+func TestTierFindsCrashesOfStoppedHosts(t *testing.T) {
+	for name, kind := range crashKinds {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				s := newQuarantineTierOf(seed, 16)
+				s.kind, s.leaves, s.work = kind, 60*ms, 1500*ms
+				for call := core.CallID(1); s.now.Before(epoch.Add(time.Minute)); call++ {
+					n := s.ask(call)
+					s.run(100 * ms)
+					s.step(s.hosts[n], scatter.Stopping{Until: s.now.Add(time.Second)})
+					s.run(time.Second)
+					s.start(n)
+					s.run(1400 * ms)
+				}
+				if late := s.lateArrivals(); late > 3 {
+					t.Errorf("seed %d: %d crashes, %d requests reached upstreams after the quarantine was due", seed, len(s.crashed), late)
+				}
+			}
+		})
+	}
+}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -310,7 +310,7 @@
 	case StoreReachable:
 		e.setReachable(now, event)
 	case Stopping:
-		e.stopBy(event.Until)
+		e.stopBy(now, event.Until)
 	case LimitEnded:
 		e.handleLimitEnd(now, event.LimitEnd)
 	case QuotaGranted:
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -181,6 +181,9 @@
 	// answer to such a request. Answered is true if it had one shortly before a crash.
 	Survived []UpstreamStart
 	Answered bool
+	// Open lists the starts that may still run such a request of a host that stops, with the
+	// order that their crash would have.
+	Open []Crash
 }
 
 // Crash is the crash of an upstream that ran a request.
@@ -197,7 +200,7 @@
 
 func (s Suspect) equal(other Suspect) bool {
 	return s.Fingerprint == other.Fingerprint && slices.Equal(s.Ended, other.Ended) &&
-		slices.Equal(s.Survived, other.Survived) && s.Answered == other.Answered
+		slices.Equal(s.Survived, other.Survived) && s.Answered == other.Answered && slices.Equal(s.Open, other.Open)
 }
 
 // SuspectsSeen lists the findings of all hosts, including this one. It replaces
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -65,6 +65,9 @@
 	losses   map[UpstreamStart]*upstreamLosses
 	open     openAttempts
 	answers  recentAnswers
+	// stopping is true once this host stops and publishes its open attempts.
+	stopping bool
+	adopted  map[adoptedAttempt]bool
 	// listed is true once this host has read the stored findings. Before, it
 	// would overwrite its own record without having read it.
 	listed     bool
@@ -113,6 +116,8 @@
 	parts       int // number of parts of the call
 	sentAt, at  time.Time
 	runsUntil   time.Time // until when the upstream may run the request
+	// order is that of the crash if another host has sent the request, see Crash.
+	order int
 }
 
 // finding is a new crash that counts against a fingerprint.
@@ -129,7 +134,7 @@
 func newQuarantine(self core.HostID) *quarantine {
 	return &quarantine{
 		self: self, suspects: map[core.Fingerprint]*suspectFingerprint{}, losses: map[UpstreamStart]*upstreamLosses{},
-		open: newOpenAttempts(),
+		open: newOpenAttempts(), adopted: map[adoptedAttempt]bool{},
 	}
 }
 
@@ -165,7 +170,10 @@
 		s := q.suspect(l.fingerprint)
 		s.recordLoss(l, at)
 		// One crash of each order is enough: the others add nothing to the count.
-		c := Crash{at, s.orderOf(l.sentAt, at)}
+		c := Crash{at, l.order}
+		if l.order == 0 {
+			c.Order = s.orderOf(l.sentAt, at)
+		}
 		if c.Order > s.ownCount() {
 			found = append(found, q.add(l.at, now, s, l.fingerprint, c, q.self)...)
 		}
@@ -444,10 +452,13 @@
 			all = append(all, suspect)
 		}
 	}
+	if q.stopping {
+		all = q.addOpen(all)
+	}
 	slices.SortFunc(all, func(a, b Suspect) int {
 		return cmp.Or(
 			cmp.Compare(q.crashCount(b.Fingerprint), q.crashCount(a.Fingerprint)),
-			q.suspects[b.Fingerprint].last.Compare(q.suspects[a.Fingerprint].last),
+			q.lastCrash(b.Fingerprint).Compare(q.lastCrash(a.Fingerprint)),
 			compareFingerprints(a, b),
 		)
 	})
@@ -458,6 +469,14 @@
 
 func compareFingerprints(a, b Suspect) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) }
 
+// lastCrash returns when the newest crash of a fingerprint was recorded.
+func (q *quarantine) lastCrash(fingerprint core.Fingerprint) time.Time {
+	if s := q.suspects[fingerprint]; s != nil {
+		return s.last
+	}
+	return time.Time{}
+}
+
 // changes returns the findings to publish; false if they have not changed.
 func (q *quarantine) changes() ([]Suspect, bool) {
 	if !q.listed {
--- a/core/scatter/quarantine_engine.go
+++ b/core/scatter/quarantine_engine.go
@@ -44,6 +44,7 @@
 func (e *Engine) handleSuspects(now time.Time, seen SuspectsSeen) {
 	e.reportFindings(now, e.quarantine.merge(now, seen.ByHost, seen.Restored))
 	e.adoptCrashes(now, seen.ByHost)
+	e.adoptOpen(now, seen.ByHost)
 	e.publishSuspects(now, false)
 	if seen.Restored {
 		e.sweepSuspects(now)
--- a/core/scatter/stop.go
+++ b/core/scatter/stop.go
@@ -17,8 +17,10 @@
 
 // stopBy schedules the final answers of the requests that are still open when this
 // host stops.
-func (e *Engine) stopBy(until time.Time) {
+func (e *Engine) stopBy(now, until time.Time) {
 	e.stopsAt = until
+	e.quarantine.stopping = true
+	e.publishSuspects(now, true)
 	e.timers.Add(until, e.answerAll)
 }
 
