Directory: an upstream whose address is in use by another gets no probes

Cause: while the registry is away, the upstreams of a service crash and another service starts one at the address of one of them. A 421 was taken for a failure that may pass. Class: requests to an address that is in use by another.

The rigs of some tests gave all their upstreams one address, which no platform does; each has its own now, and the tests check what they checked.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -132,7 +132,7 @@
 		u.observe(now, u.slownessAt(now), true)
 		u.shrink()
 	case WrongInstance:
-		u.backoffUntil = now.Add(wrongInstanceBackoff)
+		u.recordOtherInstance(now)
 		e.noteSuspect(u, r)
 	case Unreached:
 		if a.cancelled {
--- a/core/scatter/designated.go
+++ b/core/scatter/designated.go
@@ -31,7 +31,7 @@
 		return designated
 	}
 	// An unreachable upstream does not run the part for the second host either.
-	unreached := now.Before(designated.backoffUntil) && designated.consecutiveLosses < maxConsecutiveLosses
+	unreached := now.Before(designated.backoffUntil) && designated.consecutiveLosses < maxConsecutiveLosses || e.directory.superseded(now, designated)
 	if unreached || slices.Contains(p.possiblyRanAt(), designated) {
 		return nil
 	}
--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -24,9 +24,10 @@
 	// doubles with each further one, up to maxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	// wrongInstanceBackoff is the backoff of an upstream at whose address another
-	// one answered.
-	wrongInstanceBackoff = 5 * time.Second
+	// otherInstanceBackoff is for how long an upstream gets nothing after another one
+	// answered at its address. It doubles each time, up to maxOtherInstanceBackoff.
+	otherInstanceBackoff    = 5 * time.Second
+	maxOtherInstanceBackoff = time.Minute
 	// probeInterval is the minimum time between two requests to an upstream in
 	// backoff, which are sent only when no other upstream is available.
 	probeInterval = 50 * time.Millisecond
@@ -65,6 +66,10 @@
 	backoffs          int
 	backoffUntil      time.Time
 	probedAt          time.Time // last request sent during a backoff
+	// otherInstances counts the answers of another upstream at its address. Until
+	// otherInstanceUntil it gets no request, not even one that probes it.
+	otherInstances     int
+	otherInstanceUntil time.Time
 	// tieBreak is a small cost that orders upstreams of equal cost differently on
 	// each host.
 	tieBreak float64
@@ -380,7 +385,7 @@
 	bestCost := math.Inf(1)
 	busyNotStalled, stalled := false, false
 	for _, u := range d.byService[l.service.ID] {
-		if !d.acceptsWork(u) || !l.allowed(u) || slices.Contains(l.tried, u) {
+		if !d.acceptsWork(u) || d.superseded(now, u) || !l.allowed(u) || slices.Contains(l.tried, u) {
 			continue
 		}
 		if now.Before(u.withheldUntil) {
@@ -425,6 +430,20 @@
 	return best, busy
 }
 
+// recordOtherInstance records that another upstream answered at the address, so that this
+// one has ended, unless that answer was wrong.
+func (u *upstream) recordOtherInstance(now time.Time) {
+	u.otherInstanceUntil = now.Add(min(maxOtherInstanceBackoff, otherInstanceBackoff<<min(u.otherInstances, 8)))
+	u.otherInstances++
+}
+
+// superseded reports whether another upstream is known to use an upstream's address.
+// A request to it would reach that one, and count there as an extra send.
+func (d *directory) superseded(now time.Time, u *upstream) bool {
+	other := d.byAddress[u.Address]
+	return now.Before(u.otherInstanceUntil) || other != nil && other.ID != u.ID && other.Started > u.Started
+}
+
 // backOff blocks new requests for a period that doubles each time.
 func (u *upstream) backOff(now time.Time) {
 	wait := min(maxBackoff, initialBackoff<<min(u.backoffs, 8))
--- a/core/scatter/explain.go
+++ b/core/scatter/explain.go
@@ -217,6 +217,8 @@
 		return "it asked to be left alone"
 	case now.Before(u.limit.allowedAt()):
 		return "its rate limit leaves no room"
+	case e.directory.superseded(now, u):
+		return "another upstream uses its address"
 	case now.Before(u.backoffUntil):
 		return "backed off"
 	case !e.directory.coldAllows(now, u, p.call.config.Services[p.service]):
--- a/core/scatter/gather_test.go
+++ b/core/scatter/gather_test.go
@@ -153,7 +153,7 @@
 	r.step(scatter.UpstreamRemoved{ID: "shard00-a"})
 	r.step(scatter.UpstreamRemoved{ID: "shard00-b"})
 	for _, id := range []core.UpstreamID{"shard01-a", "shard01-b"} {
-		r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: id, Service: "shard01", Domain: "d1", Address: "10.0.0.1:1", Draining: true}})
+		r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: id, Service: "shard01", Domain: "d1", Address: "host-of-" + string(id) + ":1", Draining: true}})
 	}
 	call := r.ask(gatherPath + "x")
 	a := r.want(call, scatter.Refused)
--- a/core/scatter/notices.go
+++ b/core/scatter/notices.go
@@ -187,7 +187,7 @@
 	reaches := e.reaches(now, p.call)
 	return func(yield func(*upstream) bool) {
 		for _, u := range e.directory.byService[p.service] {
-			if e.directory.acceptsWork(u) && p.call.allowsRegion(e.options.Regions[u.Domain]) && reaches(u.Domain) && !yield(u) {
+			if e.directory.acceptsWork(u) && !e.directory.superseded(now, u) && p.call.allowsRegion(e.options.Regions[u.Domain]) && reaches(u.Domain) && !yield(u) {
 				return
 			}
 		}
--- a/core/scatter/protection.go
+++ b/core/scatter/protection.go
@@ -63,7 +63,7 @@
 // attempt runs, it is not cold, and no rate, backoff or limit withholds a send.
 func (u *upstream) expired(now time.Time) bool {
 	return len(u.running) == 0 && !now.Before(u.coldUntil) && !now.Before(u.nextCold) && !now.Before(u.withheldUntil) &&
-		!now.Before(u.limit.allowedAt()) && now.Sub(u.backoffUntil) >= maxBackoff
+		!now.Before(u.limit.allowedAt()) && now.Sub(u.backoffUntil) >= maxBackoff && !now.Before(u.otherInstanceUntil)
 }
 
 // expired reports whether a bucket without a quota has granted no fallback tokens in the
--- a/core/scatter/protection_test.go
+++ b/core/scatter/protection_test.go
@@ -327,7 +327,7 @@
 // store still lists them as they were.
 func TestRestoreGraceOutlivesTheCore(t *testing.T) {
 	more := func(id core.UpstreamID, domain core.DomainID) scatter.Upstream {
-		return scatter.Upstream{ID: id, Service: "files", Domain: domain, Address: "10.0.0.1:1", Slots: 2}
+		return scatter.Upstream{ID: id, Service: "files", Domain: domain, Address: "host-of-" + string(id) + ":1", Slots: 2}
 	}
 	all := append(pair("files"), more("files-c", "d1"), more("files-d", "d3"))
 	f := newFlip(t, scatter.Service{ID: "files", Connections: 96}, all...)
--- a/core/scatter/rollout_rig_test.go
+++ b/core/scatter/rollout_rig_test.go
@@ -68,7 +68,7 @@
 func (r *rolloutTier) addUpstreams(version string, count int) {
 	for i := range count {
 		u := scatter.Upstream{
-			ID: core.UpstreamID(fmt.Sprintf("%s-%d", version, i)), Service: "s", Domain: "d1", Address: "a:1",
+			ID: core.UpstreamID(fmt.Sprintf("%s-%d", version, i)), Service: "s", Domain: "d1", Address: fmt.Sprintf("%s-%d:1", version, i),
 			Version: version, Slots: 6, Started: r.now.UnixMilli(),
 		}
 		r.served = append(r.served, u)
--- a/core/scatter/single_test.go
+++ b/core/scatter/single_test.go
@@ -69,7 +69,7 @@
 func TestNothingIsSentToUpstreamsThatLeave(t *testing.T) {
 	leave := map[string]func(r *rig){
 		"draining": func(r *rig) {
-			r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: "files-a", Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 2, Draining: true}})
+			r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: "files-a", Service: "files", Domain: "d1", Address: "host-of-files-a:1", Slots: 2, Draining: true}})
 		},
 		"removed":    func(r *rig) { r.step(scatter.UpstreamRemoved{ID: "files-a"}) },
 		"domain out": func(r *rig) { r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{"d1": true}}) },
@@ -181,7 +181,7 @@
 		r := newRig(t)
 		r.configure(1, 1)
 		for _, id := range []core.UpstreamID{"files-c", "files-d", "files-e", "files-f"} {
-			r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: id, Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 2}})
+			r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{ID: id, Service: "files", Domain: "d1", Address: "host-of-" + string(id) + ":1", Slots: 2}})
 		}
 		r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 2 * ms, outcome }
 		r.ask(fetchPath)
@@ -303,7 +303,7 @@
 // startCold registers a cold upstream that has just started.
 func (r *rig) startCold(id core.UpstreamID) {
 	r.step(scatter.UpstreamSeen{Upstream: scatter.Upstream{
-		ID: id, Service: "files", Domain: "d1", Address: "10.0.0.1:1", Slots: 2, Started: 7, ColdFor: 3 * time.Second,
+		ID: id, Service: "files", Domain: "d1", Address: "host-of-" + string(id) + ":1", Slots: 2, Started: 7, ColdFor: 3 * time.Second,
 	}})
 }
 
