Handover: a request that has ended is not held until its deadline

Cause: the timer of a handover's deadline holds the request, and was not stopped when the handover ended; nor were those of its pings. Class: what holds a request after its end. Looked at: the timers of calls (stopped with the call), attempts (end with the call, or by the route's time-out), open attempts (hold no request, bounded), quotas, relayed calls and contexts of handovers (ended with them): none holds one longer.

Change: a handover stops its timers in the one place where it is removed.

--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirebeam/samphirebeam/core"
+	"github.com/samphirebeam/samphirebeam/core/schedule"
 )
 
 const (
@@ -99,6 +100,7 @@
 	// repeated is set when the request was handed to a second host while a first
 	// one may have run it.
 	repeated bool
+	timers   []*schedule.Timer[timerFunc]
 }
 
 // handoverAttempt is a handover at one host.
@@ -143,7 +145,7 @@
 // startHandover registers a handover, which ends at its deadline.
 func (e *Engine) startHandover(h *handover) {
 	e.handovers[h.request.Call] = h
-	e.timers.Add(h.deadline, func(now time.Time) {
+	e.addHandoverTimer(h, h.deadline, func(now time.Time) {
 		if e.handovers[h.request.Call] == h {
 			e.backOffSilentHosts(now, h)
 			e.endHandover(now, h, Answer{Kind: TimedOut}, false)
@@ -151,6 +153,21 @@
 	})
 }
 
+// addHandoverTimer runs fire at the given time unless the handover has ended by then.
+func (e *Engine) addHandoverTimer(h *handover, at time.Time, fire timerFunc) {
+	h.timers = append(h.timers, e.timers.Add(at, fire))
+}
+
+// removeHandover removes a handover from the open ones and stops its timers, which hold the
+// request.
+func (e *Engine) removeHandover(h *handover) {
+	delete(e.handovers, h.request.Call)
+	for _, timer := range h.timers {
+		e.timers.Stop(timer)
+	}
+	h.timers = nil
+}
+
 // tryNextHost hands a request to the best host that was not tried yet. If there is
 // none, hosts may answer from stale data, and after that this host answers.
 func (e *Engine) tryNextHost(now time.Time, h *handover) {
@@ -179,7 +196,7 @@
 		AllowStale: h.stale, Repeat: repeat,
 	})
 	if !repeat {
-		e.timers.Add(now.Add(probeFactor*p.latency), func(now time.Time) { e.probe(now, h, attempt) })
+		e.addHandoverTimer(h, now.Add(probeFactor*p.latency), func(now time.Time) { e.probe(now, h, attempt) })
 	}
 }
 
@@ -194,7 +211,7 @@
 	}
 	p := attempt.to
 	e.out.Probes = append(e.out.Probes, p.Host)
-	e.timers.Add(now.Add(max(minPingWait, p.latency)), func(later time.Time) {
+	e.addHandoverTimer(h, now.Add(max(minPingWait, p.latency)), func(later time.Time) {
 		if h.isActive(attempt) && p.heardAt.Before(now) {
 			e.backOffSilentHost(later, p)
 			e.repeatHandover(later, h)
@@ -244,7 +261,7 @@
 // configuration or the upstreams are not known here, the request is refused, and
 // this host follows both for the next requests.
 func (e *Engine) answerLocally(now time.Time, h *handover) {
-	delete(e.handovers, h.request.Call)
+	e.removeHandover(h)
 	e.aloneUntil = now.Add(localAnswerPeriod)
 	a := h.request
 	a.FromHost, a.AllowStale, a.returned = true, true, true
@@ -451,7 +468,7 @@
 
 // dropHandover removes a handover and cancels its attempts that have not ended.
 func (e *Engine) dropHandover(h *handover) {
-	delete(e.handovers, h.request.Call)
+	e.removeHandover(h)
 	for _, attempt := range h.attempts {
 		attempt.to.running--
 	}
