Quarantine: a gather of two parts whose upstreams crash together is not retried

Callers saw nothing; a gather over two services that crashes the upstreams that run it crashed four of them, two of each service, before its own retries ended.

Cause: retries end once at least three upstreams have crashed together, which two parts never reach.

Evidence: TestCrashingGatherOfFewPartsIsNotRetried, 4 sends before, 2 now. A gather of one part is retried as before: one crash is no reason to give up on its callers.

--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -410,7 +410,7 @@
 func (q *quarantine) crashedMost(fingerprint core.Fingerprint, parts int, arrived time.Time) bool {
 	s := q.suspects[fingerprint]
 	return s != nil && s.lostAt.After(arrived) &&
-		float64(len(s.crashedTogether)) >= max(minGatherLosses, gatherLossShare*float64(parts))
+		float64(len(s.crashedTogether)) >= max(float64(min(minGatherLosses, max(2, parts))), gatherLossShare*float64(parts))
 }
 
 // needsProbe reports whether an upstream has crashed while it ran a request, and no
--- a/core/scatter/quarantine_test.go
+++ b/core/scatter/quarantine_test.go
@@ -268,6 +268,21 @@
 	r.want(r.arrive(scatter.RequestArrived{Path: gatherPath, Fingerprint: crashingRequest}), scatter.Refused)
 }
 
+// TestCrashingGatherOfFewPartsIsNotRetried guards against a gather of two parts whose crashes
+// never reach the number at which retries end.
+func TestCrashingGatherOfFewPartsIsNotRetried(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 2)
+	r.step(scatter.SuspectsSeen{})
+	r.crashUpstreams(func(scatter.Send) bool { return true })
+	call := r.arrive(scatter.RequestArrived{Path: gatherPath, Fingerprint: crashingRequest})
+	r.run(300 * ms)
+	r.want(call, scatter.UpstreamsFailed)
+	if len(r.sends) != 2 {
+		t.Errorf("%d sends, want one to each service", len(r.sends))
+	}
+}
+
 // TestSoundGatherIsServedAfterAMassCrash guards against a sound gather that stays
 // refused after most of its upstreams crashed together. Until one of them answers, a
 // single part is sent first.
