Connectivity: a host that sends to few upstreams directly notices that it is cut off

Cause: it checks its own links once three different upstreams fail at the same time, which two never are. Ruled out: that the checks themselves miss it (they open connections to five upstreams of all domains).

Change: three direct attempts in a row that fail or stall, without an answer to any in between, lead to the same check, as three failing upstreams do. The check decides as before, so the crash of the only upstream in use is no partition; at most one round a second begins (TestOneCrashedUpstreamIsNoPartition).

Left: with fewer than three upstreams in all, nothing tells a cut from their crash.

--- a/core/scatter/connectivity.go
+++ b/core/scatter/connectivity.go
@@ -11,6 +11,10 @@
 	// this host to check its own connectivity, and the least that have to fail the
 	// checks for it to be partitioned.
 	minFailingUpstreams = 3
+	// minFailuresInRow is how many direct attempts have to fail or stall without an answer
+	// in between for the same check. A host that sends directly to one or two upstreams
+	// only does not see more of them fail.
+	minFailuresInRow = 3
 	// failureTTL is how long the failure of an upstream counts.
 	failureTTL = 3 * time.Second
 	// stallScanInterval is the time between two scans for direct attempts that are
@@ -51,6 +55,10 @@
 	trialAt    time.Time // of the last trial request
 	// failing holds when a direct attempt at an upstream last failed.
 	failing map[*upstream]time.Time
+	// failuresInRow counts the direct attempts that have failed since the last answer, the
+	// last one at failedAt; stalled is how many are running and overdue.
+	failuresInRow, stalled int
+	failedAt               time.Time
 	// round is the round of checks in progress; nil if there is none. roundAt is
 	// when the last one began, succeededRounds counts those that succeeded in a row.
 	round           *checkRound
@@ -95,10 +103,15 @@
 	c := &e.connectivity
 	switch {
 	case outcome.Answered():
-		c.answeredAt = now
+		c.answeredAt, c.failuresInRow = now, 0
 		delete(c.failing, a.to)
 	case (outcome == Unreached || outcome == Lost) && !a.cancelled:
 		c.failing[a.to] = now
+		if now.Sub(c.failedAt) > failureTTL {
+			c.failuresInRow = 0
+		}
+		c.failedAt = now
+		c.failuresInRow++
 		e.suspectConnectivity(now)
 	}
 }
@@ -112,7 +125,7 @@
 	}
 	c.scanning = true
 	e.timers.Add(now.Add(stallScanInterval), func(now time.Time) {
-		c.scanning = false
+		c.scanning, c.stalled = false, 0
 		running := false
 		for _, a := range e.attempts {
 			if a.via != nil {
@@ -125,6 +138,7 @@
 			}
 			if now.Sub(a.sentAt) >= limit && now.After(a.overdueAt) {
 				c.failing[a.to] = now
+				c.stalled++
 			}
 		}
 		if running {
@@ -145,11 +159,16 @@
 			delete(c.failing, u)
 		}
 	}
-	if len(c.failing) >= minFailingUpstreams {
+	if len(c.failing) >= minFailingUpstreams || len(c.failing) > 0 && c.noneAnswers(now) {
 		e.startCheckRound(now)
 	}
 }
 
+// noneAnswers reports whether the last direct attempts have all failed or stalled.
+func (c *connectivity) noneAnswers(now time.Time) bool {
+	return c.failuresInRow+c.stalled >= minFailuresInRow && now.Sub(c.answeredAt) >= silentAfter
+}
+
 // checkConnectivityOnce starts a round of checks although no upstream has failed.
 func (e *Engine) checkConnectivityOnce(now time.Time) {
 	c := &e.connectivity
