Frontend: OPTIONS * is answered 404, not with a success of the host's own

Cause: the HTTP library answers this request itself, before the handler. Looked at: its other answers of its own are failures, of which callers' ports may give any; the readiness port answers every path alike, which is its purpose.

Evidence: TestGeneralOptionsRequestHasNoSuccess, 200 before, 404 now. The general handler is switched off.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// TestGeneralOptionsRequestHasNoSuccess guards against a success that no upstream has given:
+// the HTTP library answers such a request itself unless it is told not to.
+func TestGeneralOptionsRequestHasNoSuccess(t *testing.T) {
+	cluster := newTwoShardCluster(t)
+	h := cluster.startHost("host-1", 1)
+	c, err := net.Dial("tcp", h.platformSettings.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline-Ms: 1000\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || response.StatusCode != http.StatusNotFound {
+		t.Errorf("%v, %v", response, err)
+	}
+}
+
 // TestFaultyOnlyServer checks the answer to the caller, and the number of runs,
 // for each fault of the only server of a service.
 func TestFaultyOnlyServer(t *testing.T) {
--- a/edge/frontend.go
+++ b/edge/frontend.go
@@ -70,11 +70,13 @@
 	f.setLimits(scatter.CallerLimits{})
 	f.conns = newClientConns("callers", maxConns, memory, f.maxHeaderBytes.Load, log)
 	f.server = &http.Server{
-		Handler:        http.HandlerFunc(f.serve),
-		MaxHeaderBytes: maxParsedHeaderBytes,
-		ErrorLog:       p.standardLog("callers"),
-		ConnState:      f.connState,
-		ConnContext:    withClientConn,
+		Handler: http.HandlerFunc(f.serve),
+		// Otherwise "OPTIONS *" is answered with a success before the handler runs.
+		DisableGeneralOptionsHandler: true,
+		MaxHeaderBytes:               maxParsedHeaderBytes,
+		ErrorLog:                     p.standardLog("callers"),
+		ConnState:                    f.connState,
+		ConnContext:                  withClientConn,
 	}
 	return f
 }
