Handover: a host with an older configuration declines what has seen a newer one

Cause: a handover does not say which version its host has seen in force, so that a host that the new version has not reached cannot decline it, as a relay declines parts of another version.

Change: a host states the newest version that it has seen in force: its own, that of the host it follows, and those that answers to handovers state. A host with an older one declines, unless no other host answers. Records of older builds miss the field, which declines nothing.

--- a/core/scatter/action.go
+++ b/core/scatter/action.go
@@ -119,6 +119,8 @@
 	AllowStale bool
 	// Repeat is true if another host may have run the request.
 	Repeat bool
+	// SeenVersion is the newest configuration version that this host has seen in force.
+	SeenVersion uint64
 }
 
 // SilentHosts lists those of the hosts watched by this one that are silent.
--- a/core/scatter/call.go
+++ b/core/scatter/call.go
@@ -34,12 +34,13 @@
 }
 
 // mayTakeOver reports whether this host accepts a request of another host. While its
-// data may be stale or it is partitioned, it does so only if no other host can.
+// data may be stale or it is partitioned, it does so only if no other host can; so it does
+// with a configuration that the other host has seen replaced by a newer one.
 func (e *Engine) mayTakeOver(now time.Time, a RequestArrived) bool {
 	if e.connectivity.partitioned {
 		return a.AllowStale && e.openConnectionsWork(now)
 	}
-	return a.AllowStale || e.Ready() && !e.directory.stale(now)
+	return a.AllowStale || e.Ready() && !e.directory.stale(now) && e.Version() >= a.SeenVersion
 }
 
 // answerRequest has this host answer a request from upstreams.
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -47,6 +47,8 @@
 	newestVersion uint64
 	lapsed        lapsedFeeds
 	reported      LimitsReported // the newest
+	// seenVersion is the newest version in force at a host that answered a handover.
+	seenVersion uint64
 	directory     *directory
 	fleet         *fleet
 	hosts         retained[core.HostID, Host]
@@ -210,6 +212,10 @@
 	return e.config.Version, e.config.Limits
 }
 
+// newestSeen returns the newest version that this host has seen in force, here or at another
+// host.
+func (e *Engine) newestSeen() uint64 { return max(e.newestVersion, e.reported.Version, e.seenVersion) }
+
 // Version returns the configuration version in force, 0 for none.
 func (e *Engine) Version() uint64 {
 	if e.config == nil {
--- a/core/scatter/event.go
+++ b/core/scatter/event.go
@@ -37,6 +37,9 @@
 	// Repeat is true if another host may have run the request. It is declined
 	// unless its route is repeatable, and all its sends count as extra ones.
 	Repeat bool
+	// SeenVersion is the newest configuration version that the host which hands the
+	// request over has seen in force; 0 if none.
+	SeenVersion uint64
 	// returned is true if no other host has accepted the request.
 	returned bool
 }
@@ -121,6 +124,8 @@
 	// Took is how long the host worked on the request, without the network time.
 	Took  time.Duration
 	Cause string
+	// Version is the configuration version in force at the host; 0 if it does not state it.
+	Version uint64
 }
 
 // HostAlive reports that a message arrived from another host.
--- a/core/scatter/handover.go
+++ b/core/scatter/handover.go
@@ -193,7 +193,7 @@
 	p.running++
 	e.out.Handovers = append(e.out.Handovers, Handover{
 		Call: h.request.Call, To: p.Host, Deadline: h.deadline, Spent: now.Sub(h.request.At) + p.overhead,
-		AllowStale: h.stale, Repeat: repeat,
+		AllowStale: h.stale, Repeat: repeat, SeenVersion: e.newestSeen(),
 	})
 	if !repeat {
 		e.addHandoverTimer(h, now.Add(probeFactor*p.latency), func(now time.Time) { e.probe(now, h, attempt) })
@@ -368,6 +368,7 @@
 	h.attempts = slices.Delete(h.attempts, at, at+1)
 	p := attempt.to
 	p.running--
+	e.seenVersion = max(e.seenVersion, r.Version)
 	if r.Outcome != Unreached && r.Outcome != Lost {
 		p.recordHeard(now)
 		e.recordDomainAlive(now, p.Domain)
--- a/core/scatter/rig_test.go
+++ b/core/scatter/rig_test.go
@@ -35,6 +35,8 @@
 	probed func(core.HostID)
 	// peer returns how a host answers a handover.
 	peer func(h scatter.Handover) (after time.Duration, outcome scatter.Outcome)
+	// versions are those that hosts state in their answers to handovers.
+	versions map[core.HostID]uint64
 
 	sends          []scatter.Send
 	sentAt         []time.Time
@@ -134,7 +136,7 @@
 		r.handovers = append(r.handovers, h)
 		after, outcome := r.peer(h)
 		r.later.Add(r.now.Add(after), func() {
-			r.step(scatter.HandoverEnded{Call: h.Call, To: h.To.ID, Outcome: outcome, Payload: string(h.To.ID)})
+			r.step(scatter.HandoverEnded{Call: h.Call, To: h.To.ID, Outcome: outcome, Payload: string(h.To.ID), Version: r.versions[h.To.ID]})
 		})
 	}
 }
--- a/core/scatter/successor.go
+++ b/core/scatter/successor.go
@@ -8,7 +8,7 @@
 func (e *Engine) Successor() *Engine {
 	next := New(e.options)
 	next.sequence, next.startedAt, next.stopsAt = e.sequence, e.startedAt, e.stopsAt
-	next.newestVersion, next.reported = e.newestVersion, e.reported
+	next.newestVersion, next.reported, next.seenVersion = e.newestVersion, e.reported, e.seenVersion
 	next.targetSince, next.allowance = e.targetSince, e.allowance
 	next.budgets = e.budgets
 	next.directory.inherit(e.directory)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -142,6 +142,7 @@
 			ended.Outcome = scatter.Failed
 		}
 		ended.Took = time.Duration(reply.TookUs) * time.Microsecond
+		ended.Version = reply.ConfigVersion
 		ended.Payload = platform.NewReply(int(reply.Status), decodeHeaders(reply.Headers), reply.Body)
 	case sent.Load() && status.Code(err) != codes.Unimplemented:
 		ended.Outcome, ended.Cause = scatter.Lost, err.Error()
@@ -177,6 +178,8 @@
 		SpentUs:    h.Spent.Microseconds(),
 		AllowStale: h.AllowStale,
 		Repeat:     h.Repeat,
+
+		ConfigVersion: h.SeenVersion,
 	}
 }
 
--- a/edge/service.go
+++ b/edge/service.go
@@ -175,7 +175,7 @@
 	request := decodeRun(r)
 	started := time.Now()
 	arrived := started.Add(-time.Duration(r.SpentUs) * time.Microsecond)
-	answer, callerGone := s.host.frontend.submit(ctx, request, scatter.RequestArrived{At: arrived, FromHost: true, AllowStale: r.AllowStale, Repeat: r.Repeat})
+	answer, callerGone := s.host.frontend.submit(ctx, request, scatter.RequestArrived{At: arrived, FromHost: true, AllowStale: r.AllowStale, Repeat: r.Repeat, SeenVersion: r.ConfigVersion})
 	switch {
 	case callerGone:
 		return nil, status.FromContextError(ctx.Err()).Err()
@@ -188,6 +188,6 @@
 	reply := platform.Render(request, answer)
 	return &edgepb.RunReply{
 		Status: int32(reply.Status), Headers: encodeHeaders(reply.Header), Body: reply.Body,
-		TookUs: time.Since(started).Microseconds(),
+		TookUs: time.Since(started).Microseconds(), ConfigVersion: s.host.configVersion.Load(),
 	}, nil
 }
