Quarantine: open attempts are bounded without losing the newest

Found in reading the change: with 64 open attempts at an upstream, or 256 upstreams with some, a host recorded no further one, so that callers that leave at a busy service hide a request that crashes it. Now those that the upstream has survived go first, then the oldest; 1,024 upstreams are kept.

Evidence: TestCrashIsFoundAmongManyCallersThatLeave fails with the old rule.

Also: the crash that another host reports counts once, when it is new here, not with each later list of findings; the open attempts of a record have a bound (256).

--- a/core/scatter/crash_evidence.go
+++ b/core/scatter/crash_evidence.go
@@ -1,12 +1,6 @@
 package scatter
 
-import (
-	"maps"
-	"slices"
-	"time"
-
-	"github.com/samphirebeam/samphirebeam/core"
-)
+import "time"
 
 // plannedStopCheck is how long after the removal of its entry a refused connection shows
 // that an upstream has crashed. One that stops as planned serves for longer than that.
@@ -97,22 +91,12 @@
 	e.reportFindings(now, e.quarantine.recordCrash(now, target.Start(), nil))
 }
 
-// adoptCrashes counts the crashes that other hosts have found against the open attempts of
-// this one.
-func (e *Engine) adoptCrashes(now time.Time, byHost map[core.HostID][]Suspect) {
-	if len(e.quarantine.open.byStart) == 0 {
-		return
-	}
-	for _, by := range slices.Sorted(maps.Keys(byHost)) {
-		if by == e.options.Self {
-			continue
-		}
-		for _, suspect := range byHost[by] {
-			for _, crash := range suspect.Ended {
-				if w := e.quarantine.open.byStart[crash.UpstreamStart]; w != nil {
-					e.recordExit(now, w.target)
-				}
-			}
+// adoptCrashes counts the crashes that other hosts have newly found against the open
+// attempts of this one.
+func (e *Engine) adoptCrashes(now time.Time, found []finding) {
+	for _, f := range found {
+		if w := e.quarantine.open.byStart[f.crash.UpstreamStart]; w != nil && f.by != e.options.Self {
+			e.recordExit(now, w.target)
 		}
 	}
 }
--- a/core/scatter/crash_evidence_test.go
+++ b/core/scatter/crash_evidence_test.go
@@ -225,3 +225,43 @@
 		})
 	}
 }
+
+// TestCrashIsFoundAmongManyCallersThatLeave guards against a request that crashes its
+// upstreams unseen, since the host keeps no more open attempts.
+func TestCrashIsFoundAmongManyCallersThatLeave(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{})
+	ended := map[core.UpstreamID]bool{}
+	r.refuses = func(id core.UpstreamID) bool { return ended[id] }
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if ended[s.Target.ID] {
+			return ms, scatter.Unreached
+		}
+		return s.Deadline.Sub(r.now), scatter.Lost
+	}
+	leave := func(a scatter.RequestArrived) {
+		a.Path, a.Budget = fetchPath, time.Second
+		call := r.arrive(a)
+		r.run(2 * ms)
+		r.step(scatter.CallerGone{Call: call})
+		if sent := r.sends[len(r.sends)-1]; sent.Call == call {
+			r.step(scatter.AttemptEnded{Attempt: sent.Attempt, Outcome: scatter.Lost})
+		}
+		r.run(ms)
+	}
+	for range 2 { // upstreams
+		for range 300 {
+			leave(scatter.RequestArrived{})
+		}
+		before := len(r.sends)
+		leave(scatter.RequestArrived{Fingerprint: crashingRequest})
+		last := r.sends[len(r.sends)-1].Target.ID
+		if len(r.sends) == before || ended[last] {
+			t.Fatal("nothing was sent")
+		}
+		ended[last] = true
+		r.run(3 * time.Second)
+	}
+	r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest}), scatter.Refused)
+}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -49,11 +49,11 @@
 	reported      LimitsReported // the newest
 	// seenVersion is the newest version in force at a host that answered a handover.
 	seenVersion uint64
-	directory     *directory
-	fleet         *fleet
-	hosts         retained[core.HostID, Host]
-	domainsOut    retained[core.DomainID, bool]
-	handovers     map[core.CallID]*handover
+	directory   *directory
+	fleet       *fleet
+	hosts       retained[core.HostID, Host]
+	domainsOut  retained[core.DomainID, bool]
+	handovers   map[core.CallID]*handover
 	// aloneUntil is until when this host stays ready to answer requests itself,
 	// after no other host accepted one.
 	aloneUntil         time.Time
--- a/core/scatter/open_attempts.go
+++ b/core/scatter/open_attempts.go
@@ -13,7 +13,7 @@
 const (
 	// maxWatchedStarts bounds the upstream starts with open attempts, and maxOpenPerStart
 	// the open attempts of each.
-	maxWatchedStarts = 256
+	maxWatchedStarts = 1024
 	maxOpenPerStart  = 64
 	// maxOpenRun bounds the time for which an upstream is assumed to run a request whose
 	// caller set a longer deadline. Evidence of a crash counts for crashNoticePeriod
@@ -79,8 +79,13 @@
 		o.byStart[target.Start()] = w
 	}
 	if len(w.attempts) >= maxOpenPerStart {
-		return
+		o.remove(target.Start(), func(a openAttempt) bool { return !w.heardAt.Before(a.runsUntil) })
+	}
+	if len(w.attempts) >= maxOpenPerStart {
+		oldest := w.attempts[0]
+		o.remove(target.Start(), func(a openAttempt) bool { return a == oldest })
 	}
+	o.byStart[target.Start()] = w // remove drops a start without attempts
 	w.attempts = append(w.attempts, a)
 	o.counts[a.fingerprint]++
 	if !checked {
--- a/core/scatter/open_handoff.go
+++ b/core/scatter/open_handoff.go
@@ -15,6 +15,8 @@
 	// adoptedRun is how long an upstream is assumed to run a request of a host that has
 	// stopped.
 	adoptedRun = 4 * time.Second
+	// maxPublishedOpen bounds the open attempts in a report.
+	maxPublishedOpen = 256
 	// maxAdopted bounds the attempts of other hosts that are remembered as adopted.
 	maxAdopted = 1024
 )
@@ -28,7 +30,7 @@
 
 // addOpen adds the open attempts to a report.
 func (q *quarantine) addOpen(all []Suspect) []Suspect {
-	open := map[core.Fingerprint][]Crash{}
+	open, count := map[core.Fingerprint][]Crash{}, 0
 	for _, w := range q.open.sorted() {
 		start := w.target.Start()
 		for _, a := range w.attempts {
@@ -39,7 +41,8 @@
 			list := open[a.fingerprint]
 			if at := slices.IndexFunc(list, func(c Crash) bool { return c.UpstreamStart == start }); at >= 0 {
 				list[at].Order = max(list[at].Order, order)
-			} else {
+			} else if count < maxPublishedOpen {
+				count++
 				open[a.fingerprint] = append(list, Crash{start, order})
 			}
 		}
--- a/core/scatter/quarantine_engine.go
+++ b/core/scatter/quarantine_engine.go
@@ -42,8 +42,9 @@
 
 // handleSuspects handles the stored findings of all hosts.
 func (e *Engine) handleSuspects(now time.Time, seen SuspectsSeen) {
-	e.reportFindings(now, e.quarantine.merge(now, seen.ByHost, seen.Restored))
-	e.adoptCrashes(now, seen.ByHost)
+	found := e.quarantine.merge(now, seen.ByHost, seen.Restored)
+	e.reportFindings(now, found)
+	e.adoptCrashes(now, found)
 	e.adoptOpen(now, seen.ByHost)
 	e.publishSuspects(now, false)
 	if seen.Restored {
