--- a/standin/serverstub/server.go
+++ b/standin/serverstub/server.go
@@ -91,6 +91,9 @@
 	// DownFor.
 	CrashPath string
 	DownFor   time.Duration
+	// CrashAfter is how long such a request runs before, whether or not its sender
+	// waits for the answer.
+	CrashAfter time.Duration
 	// OnStart is called after each restart with the number of starts so far.
 	OnStart func(starts int)
 }
@@ -370,6 +373,7 @@
 	}
 	s.mu.Unlock()
 	if deadly {
+		time.Sleep(s.config.CrashAfter)
 		s.crash()
 		return false
 	}
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -135,6 +135,29 @@
 }
 
 // order sends a request that must not run twice and records its status, which
+// checkLateCrashes checks that at most maxLateCrashes requests crash servers later than the
+// contact time after the third crash since all hosts were restarted.
+func (c *checker) checkLateCrashes(restarted time.Time) {
+	var times []time.Time
+	for _, s := range c.fleet.fileServers {
+		for _, at := range s.CrashTimes() {
+			if at.After(restarted) {
+				times = append(times, at)
+			}
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	late := 0
+	for _, at := range times {
+		if len(times) >= 3 && at.After(times[2].Add(contactMs*time.Millisecond)) {
+			late++
+		}
+	}
+	if late > maxLateCrashes {
+		c.violated("%d servers crashed under one request after all hosts were killed, %d of them late", len(times), late)
+	}
+}
+
 // checkOrders compares with the runs at the servers.
 func (c *checker) order(client *http.Client, h *host, id string) {
 	status, header, body := sendRequest(c.fleet, client, h, http.MethodPost, "/order/x", id, "one "+id)
@@ -149,19 +172,35 @@
 	}
 }
 
-// meanCrashRequestInterval is the mean time between two requests that crash servers.
-const meanCrashRequestInterval = 50 * time.Millisecond
+const (
+	// meanCrashRequestInterval is the mean time between two requests that crash servers,
+	// meanLeaverInterval that in runs in which their callers leave. These servers get no
+	// other requests.
+	meanCrashRequestInterval = 50 * time.Millisecond
+	meanLeaverInterval       = 700 * time.Millisecond
+	// leaverPatience is how long such a caller waits, leaverCrashAfter how long its request
+	// runs before the server crashes, leaverDownTime for how long that is down.
+	leaverPatience   = 30 * time.Millisecond
+	leaverCrashAfter = 100 * time.Millisecond
+	leaverDownTime   = 50 * time.Millisecond
+)
+
+// callersLeave reports whether the callers of the requests that crash servers leave before.
+func callersLeave(seed uint64) bool { return rand.New(rand.NewPCG(seed, 6)).IntN(3) == 0 }
 
 // sendCrashRequests repeats a request that crashes the server that runs it, each
 // time through a random host, until stop is closed.
 func (c *checker) sendCrashRequests(seed uint64, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	client := &http.Client{Timeout: 4 * time.Second}
+	client, interval := &http.Client{Timeout: 4 * time.Second}, meanCrashRequestInterval
+	if callersLeave(seed) {
+		client.Timeout, interval = leaverPatience, meanLeaverInterval
+	}
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(random.Float64() * 2 * float64(meanCrashRequestInterval))):
+		case <-time.After(time.Duration(random.Float64() * 2 * float64(interval))):
 		}
 		h := c.fleet.hosts[random.IntN(len(c.fleet.hosts))]
 		status, _, _ := sendRequest(c.fleet, client, h, http.MethodGet, "/file/deadly", fmt.Sprint("deadly-", i), "")
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -50,6 +50,9 @@
 
 	limits map[string]float64 // of the servers that state one
 	teams  bool               // the configuration has teams
+	// crashAfter is how long a request runs that crashes its server, downFor for how long
+	// that is down.
+	crashAfter, downFor time.Duration
 
 	mu        sync.Mutex
 	version   int
@@ -107,8 +110,11 @@
 	disturbed []time.Time
 }
 
-func newFleet(program, folder string, hosts int, teams bool) (*fleet, error) {
-	f := &fleet{program: program, folder: folder, teams: teams, store: platformstub.New(), written: map[[2]string]any{}}
+func newFleet(program, folder string, hosts int, seed uint64) (*fleet, error) {
+	f := &fleet{program: program, folder: folder, teams: hasTeams(seed), downFor: downTime, store: platformstub.New(), written: map[[2]string]any{}}
+	if callersLeave(seed) {
+		f.crashAfter, f.downFor = leaverCrashAfter, leaverDownTime
+	}
 	f.storeServer = httptest.NewServer(f.store)
 	for i := range shards {
 		for j := range serversPerShard {
@@ -165,7 +171,7 @@
 	}
 	var stub *serverstub.Server
 	stub, err := serverstub.Start(serverstub.Config{
-		ID: id, Slots: 4, Queue: 24, Work: serviceTime, CrashPath: "/deadly", DownFor: downTime,
+		ID: id, Slots: 4, Queue: 24, Work: serviceTime, CrashPath: "/deadly", DownFor: f.downFor, CrashAfter: f.crashAfter,
 		OnStart: func(starts int) { _ = register(stub.Address(), starts) }, // Put fails only if JSON cannot encode the entry
 	})
 	if err != nil {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -15,6 +15,7 @@
 	100: "a question that many callers ask was quarantined after two lost answers",
 	1:   "a short run of fresh faults",
 	3:   "a short run with teams: keys are withdrawn, one team has a quota",
+	11:  "a request crashed its servers without end, since its callers left before and nothing else was sent there",
 }
 
 func TestSeeds(t *testing.T) {
