--- a/core/scatter/directory.go
+++ b/core/scatter/directory.go
@@ -24,10 +24,6 @@
 	// doubles with each further one, up to maxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 2 * time.Second
-	// otherInstanceBackoff is for how long an upstream gets nothing after another one
-	// answered at its address. It doubles each time, up to maxOtherInstanceBackoff.
-	otherInstanceBackoff    = 5 * time.Second
-	maxOtherInstanceBackoff = time.Minute
 	// probeInterval is the minimum time between two requests to an upstream in
 	// backoff, which are sent only when no other upstream is available.
 	probeInterval = 50 * time.Millisecond
@@ -430,20 +426,6 @@
 	return best, busy
 }
 
-// recordOtherInstance records that another upstream answered at the address, so that this
-// one has ended, unless that answer was wrong.
-func (u *upstream) recordOtherInstance(now time.Time) {
-	u.otherInstanceUntil = now.Add(min(maxOtherInstanceBackoff, otherInstanceBackoff<<min(u.otherInstances, 8)))
-	u.otherInstances++
-}
-
-// superseded reports whether another upstream is known to use an upstream's address.
-// A request to it would reach that one, and count there as an extra send.
-func (d *directory) superseded(now time.Time, u *upstream) bool {
-	other := d.byAddress[u.Address]
-	return now.Before(u.otherInstanceUntil) || other != nil && other.ID != u.ID && other.Started > u.Started
-}
-
 // backOff blocks new requests for a period that doubles each time.
 func (u *upstream) backOff(now time.Time) {
 	wait := min(maxBackoff, initialBackoff<<min(u.backoffs, 8))
--- a/core/scatter/partition_few_test.go
+++ b/core/scatter/partition_few_test.go
@@ -12,28 +12,22 @@
 // all upstreams and does not notice, since it sends directly to the two of one service only
 // and reaches the others through relays.
 func TestPartitionIsDetectedWithFewDirectUpstreams(t *testing.T) {
-	r := newRig(t)
-	r.configure(1, 4)
-	r.ask(orderPath)
-	r.run(time.Second)
-	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return ms, scatter.Unreached }
-	r.refuses = func(core.UpstreamID) bool { return true }
-	for range 100 {
-		r.ask(orderPath)
-		r.run(10 * ms)
-	}
-	if !r.engine.Partitioned() {
-		t.Error("not partitioned after a second in which no connection could be opened")
-	}
+	testFewDirectUpstreams(t, ms)
 }
 
 // TestPartitionIsDetectedWithFewStalledUpstreams: the same where connections hang.
 func TestPartitionIsDetectedWithFewStalledUpstreams(t *testing.T) {
+	testFewDirectUpstreams(t, 500*ms)
+}
+
+// testFewDirectUpstreams checks that a host finds itself partitioned whose attempts fail after
+// a time.
+func testFewDirectUpstreams(t *testing.T, failsAfter time.Duration) {
 	r := newRig(t)
 	r.configure(1, 4)
 	r.ask(orderPath)
 	r.run(time.Second)
-	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return 500 * ms, scatter.Unreached }
+	r.serve = func(scatter.Send) (time.Duration, scatter.Outcome) { return failsAfter, scatter.Unreached }
 	r.refuses = func(core.UpstreamID) bool { return true }
 	for range 100 {
 		r.ask(orderPath)
