Quarantine: a 421 from another upstream is no sign of life of the one that crashed

Found in the read-through: an answer of another upstream at the address counted as an answer of the one that had crashed, whose open attempts then counted as survived.

Evidence: TestAnotherInstanceIsNoSignOfLife fails before.

Also: a function renamed after what it does, comments that had become untrue.

--- a/core/scatter/attempt.go
+++ b/core/scatter/attempt.go
@@ -35,6 +35,8 @@
 	a.notRun = r.Outcome.SurelyNotRun()
 	if r.Outcome.Answered() {
 		e.recordDomainAlive(now, u.Domain)
+	}
+	if r.Outcome.Answered() && r.Outcome != WrongInstance {
 		e.quarantine.open.heard(now, u.Start())
 	}
 	if a.cancelled {
--- a/core/scatter/crash_evidence.go
+++ b/core/scatter/crash_evidence.go
@@ -110,9 +110,10 @@
 	}
 }
 
-// checkRemoved checks an upstream with open attempts whose entry has been removed: one that
-// has crashed refuses connections, one that stops as planned still accepts them.
-func (e *Engine) checkRemoved(now time.Time, u *upstream, decision Decision) {
+// noteListing logs a change in the list of upstreams. One with open attempts whose entry has
+// been removed is checked: if it has crashed it refuses connections, if it stops as
+// planned it still accepts them.
+func (e *Engine) noteListing(now time.Time, u *upstream, decision Decision) {
 	e.noteUpstream(u, decision)
 	if decision == DecisionUpstreamRemoved && e.quarantine.open.byStart[u.Start()] != nil {
 		e.checkUpstream(now, u.Upstream)
--- a/core/scatter/crash_evidence_test.go
+++ b/core/scatter/crash_evidence_test.go
@@ -265,3 +265,37 @@
 	}
 	r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest}), scatter.Refused)
 }
+
+// TestAnotherInstanceIsNoSignOfLife guards against a crash that is not found since another
+// upstream answers at the address of the one that has crashed.
+func TestAnotherInstanceIsNoSignOfLife(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.drain("files-b")
+	r.step(scatter.SuspectsSeen{})
+	taken := map[core.UpstreamID]bool{}
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) {
+		if taken[s.Target.ID] {
+			return ms, scatter.WrongInstance
+		}
+		return s.Deadline.Sub(r.now), scatter.Lost
+	}
+	for range 2 {
+		call := r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest, Budget: time.Second})
+		r.run(20 * ms)
+		r.step(scatter.CallerGone{Call: call})
+		crashed := r.sends[len(r.sends)-1].Target
+		clear(taken)
+		taken[crashed.ID] = true
+		r.run(time.Second) // after the deadline
+		for range 4 {
+			r.ask(fetchPath)
+			r.run(10 * ms)
+		}
+		clear(taken)
+		crashed.Started++
+		r.step(scatter.UpstreamSeen{Upstream: crashed})
+		r.run(3 * time.Second)
+	}
+	r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest}), scatter.Refused)
+}
--- a/core/scatter/engine.go
+++ b/core/scatter/engine.go
@@ -273,7 +273,7 @@
 	case ConfigSeen:
 		e.setConfig(now, event.Config)
 	case UpstreamsListed:
-		e.directory.list(now, event.Upstreams, event.Restored, func(u *upstream, decision Decision) { e.checkRemoved(now, u, decision) })
+		e.directory.list(now, event.Upstreams, event.Restored, func(u *upstream, decision Decision) { e.noteListing(now, u, decision) })
 		e.checkSuccessors(now)
 		e.scheduleOpenScan(now)
 		if e.connectivity.checkWhenListed {
@@ -290,7 +290,7 @@
 		e.checkSuccessors(now)
 	case UpstreamRemoved:
 		if u, decision := e.directory.remove(now, event.ID); u != nil {
-			e.checkRemoved(now, u, decision)
+			e.noteListing(now, u, decision)
 		}
 		e.startGraceTimer(now)
 	case DomainsOut:
--- a/core/scatter/quarantine.go
+++ b/core/scatter/quarantine.go
@@ -53,8 +53,8 @@
 // quarantine detects requests that crash the upstreams that run them. Such
 // requests are identified by fingerprint, since they may be repeated at any host.
 //
-// A lost answer alone is not sufficient evidence. The upstream has to refuse
-// connections right after it, and an answer from any upstream clears the
+// A lost answer alone is not sufficient evidence. The upstream has to be found to have
+// ended (see crash_evidence.go), and an answer from any upstream clears the
 // fingerprint. Upstreams that crash together, e.g. with their rack, count once, also
 // if several hosts find them: a crash counts in addition to another one only if the
 // request was sent after that one was known. Each host publishes its findings to all
@@ -490,7 +490,8 @@
 	return report, true
 }
 
-// The timers of the failed engine are lost.
+// forSuccessor prepares the quarantine for the engine that replaces a failed one. The
+// timers of the failed engine are lost.
 func (q *quarantine) forSuccessor() *quarantine {
 	q.publishing, q.sweeping = false, false
 	q.losses = map[UpstreamStart]*upstreamLosses{}
--- a/core/scatter/quarantine_engine.go
+++ b/core/scatter/quarantine_engine.go
@@ -111,5 +111,3 @@
 		e.publishSuspects(now, true)
 	})
 }
-
-// forSuccessor prepares the quarantine for the engine that replaces a failed one.
