--- a/core/scatter/crash_evidence_test.go
+++ b/core/scatter/crash_evidence_test.go
@@ -61,8 +61,8 @@
 		"its entry is removed while it serves": func(r *rig, u scatter.Upstream) {
 			r.step(scatter.UpstreamRemoved{ID: u.ID})
 		},
-		"its failure domain is taken out": func(r *rig, u scatter.Upstream) {
-			r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{u.Domain: true}})
+		"its failure domain is taken out": func(r *rig, _ scatter.Upstream) {
+			r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{"d1": true, "d2": true}})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -71,14 +71,14 @@
 			r.step(scatter.SuspectsSeen{})
 			ended := map[core.UpstreamID]bool{}
 			r.refuses = func(id core.UpstreamID) bool { return ended[id] }
-			r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) { return 3 * time.Second, scatter.Succeeded }
+			r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) { return s.Deadline.Sub(r.now), scatter.Lost }
 			for started := range int64(4) {
 				clear(ended)
-				r.step(scatter.DomainsOut{})
 				for _, u := range pair("files") {
 					u.Started = started
 					r.step(scatter.UpstreamSeen{Upstream: u})
 				}
+				r.step(scatter.DomainsOut{})
 				r.run(3 * time.Second)
 				for range 2 {
 					call := r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest, Budget: time.Second})
@@ -299,3 +299,28 @@
 	}
 	r.want(r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest}), scatter.Refused)
 }
+
+// TestDomainThatIsBackIsNoEvidence: upstreams stop while their failure domain is out, and
+// their next starts register only after it is back.
+func TestDomainThatIsBackIsNoEvidence(t *testing.T) {
+	r := newRig(t)
+	r.configure(1, 1)
+	r.step(scatter.SuspectsSeen{})
+	r.serve = func(s scatter.Send) (time.Duration, scatter.Outcome) { return s.Deadline.Sub(r.now), scatter.Lost }
+	call := r.arrive(scatter.RequestArrived{Path: fetchPath, Fingerprint: crashingRequest, Budget: time.Second})
+	r.run(10 * ms)
+	r.step(scatter.CallerGone{Call: call})
+	r.step(scatter.DomainsOut{Domains: map[core.DomainID]bool{"d1": true, "d2": true}})
+	r.run(4 * time.Second)
+	r.step(scatter.DomainsOut{})
+	for _, u := range pair("files") {
+		u.Started++
+		r.step(scatter.UpstreamSeen{Upstream: u})
+	}
+	r.run(time.Second)
+	for _, stored := range r.storedSuspects {
+		if len(stored) > 0 {
+			t.Errorf("suspected: %v", stored)
+		}
+	}
+}
